--- a/crates/consensus/src/node/membership.rs
+++ b/crates/consensus/src/node/membership.rs
@@ -39,13 +39,13 @@
 }
 
 impl Node {
-    /// Takes `joining` in as a learner that replaces `replaced`. A host that is a member already is told
-    /// so by success; the call may be repeated.
+    /// Takes `joining` in as a learner that replaces `replaced`, or adds to the members. A host that is
+    /// a member already is told so by success; the call may be repeated.
     pub fn join(
         &mut self,
         now: Instant,
         joining: &Member,
-        replaced: MemberId,
+        replaced: Option<MemberId>,
     ) -> Result<(), JoinError> {
         self.check_lease(now);
         if !matches!(self.role, Role::Leader(_)) {
@@ -55,16 +55,17 @@
         if membership.get(joining.id).is_some() {
             return Ok(());
         }
-        ensure!(membership.get(replaced).is_some(), NobodyToReplaceSnafu);
-        ensure!(replaced != self.id, ReplacesLeaderSnafu);
+        let known = replaced.is_none_or(|id| membership.get(id).is_some());
+        ensure!(known, NobodyToReplaceSnafu);
+        ensure!(replaced != Some(self.id), ReplacesLeaderSnafu);
         let mut members = membership.members().iter();
-        let before = members.find(|m| m.replaces == Some(replaced));
+        let before = members.find(|m| m.replaces.is_some() && m.replaces == replaced);
         let votes = before.is_some_and(|m| m.role == MemberRole::Voter);
         ensure!(!votes, AlreadyReplacedSnafu);
         ensure!(self.may_change_membership(), BusySnafu);
         let learner = Member {
             role: MemberRole::Learner,
-            replaces: Some(replaced),
+            replaces: replaced,
             ..joining.clone()
         };
         // A learner that never got as far as a vote gives way; it counted towards nothing.
--- a/crates/consensus/tests/testsuite/simulation.rs
+++ b/crates/consensus/tests/testsuite/simulation.rs
@@ -191,7 +191,7 @@
         };
         for host in self.hosts.values_mut() {
             if let (Some(node), None) = (&mut host.node, &host.syncing) {
-                drop(node.join(self.now, &joining, replaced));
+                drop(node.join(self.now, &joining, Some(replaced)));
             }
         }
     }
--- a/crates/core/src/changes.rs
+++ b/crates/core/src/changes.rs
@@ -12,7 +12,7 @@
 use snafu::Snafu;
 use uuid::Uuid;
 
-use crate::config::{ClaimGroup, Profile, Version, ZoneState};
+use crate::config::{ClaimGroup, Document, Profile, Version, ZoneState};
 use crate::ids::LogIndex;
 use crate::time::UnixMillis;
 
@@ -86,6 +86,8 @@
     Zone(ZoneState),
     /// Commits the next epoch of a claim group; asked for by the leader alone.
     ClaimGroup(ClaimGroup),
+    /// Puts a document in force if its version is the highest so far; accepted without effect if not.
+    Document(Document),
 }
 
 /// What a log entry holds.
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use derive_more::{Display, From, FromStr, Into};
 
 use crate::ids::{
@@ -215,6 +216,16 @@
     }
 }
 
+/// A whole configuration written by an outside system. Its highest version is in force; the log does
+/// not look inside.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Document {
+    /// Version that the outside system gave it.
+    pub version: Version,
+    /// The text, as it was sent.
+    pub body: Bytes,
+}
+
 /// Everything that operators and the control leader have committed, at one log index.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct CommittedConfig {
@@ -230,6 +241,9 @@
     pub regions: BTreeMap<AvailabilityZone, RegionName>,
     /// Claim groups by the service they serve.
     pub claim_groups: BTreeMap<ServiceId, ClaimGroup>,
+    /// The document in force, where an outside system writes the configuration. It does not travel
+    /// down the relay tree.
+    pub document: Option<Document>,
 }
 
 impl CommittedConfig {
--- a/crates/core/src/control_state.rs
+++ b/crates/core/src/control_state.rs
@@ -11,7 +11,7 @@
     Accepted, Answer, COMMAND_WINDOW, Change, Command, CommandId, CommandIdExpiredSnafu,
     CommandIdReusedSnafu, InvalidSnafu, LostRaceSnafu, Refusal, Standing,
 };
-use crate::config::{ClaimGroup, CommittedConfig, Profile, Version, ZoneState};
+use crate::config::{ClaimGroup, CommittedConfig, Document, Profile, Version, ZoneState};
 use crate::ids::{LogIndex, ServiceId};
 use crate::time::UnixMillis;
 
@@ -92,6 +92,7 @@
             Change::Profile(profile) => self.change_profile(profile)?,
             Change::Zone(zone) => self.change_zone(zone)?,
             Change::ClaimGroup(group) => self.change_claim_group(group)?,
+            Change::Document(document) => return Ok(self.change_document(index, document)),
         };
         self.config.index = index;
         Ok(Accepted { index, version })
@@ -118,6 +119,20 @@
         Ok(version)
     }
 
+    /// An order that is sent again, or was overtaken, is accepted and leaves the index as it is.
+    fn change_document(&mut self, index: LogIndex, document: Document) -> Accepted {
+        let stands = self.config.document.as_ref().map(|d| d.version);
+        if stands.is_none_or(|stands| document.version > stands) {
+            self.config.document = Some(document);
+            self.config.index = index;
+        }
+        let stands = self.config.document.as_ref().map(|d| d.version);
+        Accepted {
+            index: self.config.index,
+            version: stands.unwrap_or_default(),
+        }
+    }
+
     fn change_claim_group(&mut self, group: ClaimGroup) -> Result<Version, Refusal> {
         let known = self.config.claim_groups.get(&group.service);
         if !may_follow(known, &group) {
--- /dev/null
+++ b/crates/core/src/forwarded/gate.rs
@@ -0,0 +1,93 @@
+//! Whether a backend server gets an opening packet: the agent's last word.
+//!
+//! A balancer may be stale in every respect; the agent knows its server and the configuration at
+//! first hand, and every packet to the server passes it. So each rule about what a server may get is
+//! kept here.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use super::decision::Reason;
+use super::packet::FlowKey;
+use super::server::{Closed, Server};
+use super::service_map::{RequestRate, ServiceMap};
+
+/// Requests for each slot up to which a server takes all that comes: with two for each slot the next
+/// request is there when one ends.
+const EASY_PER_SLOT: u32 = 2;
+/// Requests for each slot above which nothing more is given to a server; what it got beyond would
+/// wait in its queue for longer than most callers do.
+const MOST_PER_SLOT: u32 = 5;
+/// Share of the stated rate that a cold server gets; the rest is left for packets on their way.
+const COLD_SHARE: f64 = 0.9;
+/// Span over which the rate of a cold server is counted.
+const COLD_WINDOW: Duration = Duration::from_secs(1);
+
+/// How full a server is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fullness {
+    /// It takes what comes.
+    Easy,
+    /// A peer with less to do is better.
+    Full,
+    /// It gets nothing more.
+    Most,
+}
+
+/// How full a server with `busy` requests and `slots` is.
+pub const fn fullness(busy: u32, slots: u32) -> Fullness {
+    let slots = if slots == 0 { 1 } else { slots };
+    if busy < slots * EASY_PER_SLOT {
+        Fullness::Easy
+    } else if busy < slots * MOST_PER_SLOT {
+        Fullness::Full
+    } else {
+        Fullness::Most
+    }
+}
+
+/// Why `flow` must not go to `server` at all; load aside.
+pub fn barred(now: Instant, map: &ServiceMap, server: &Server, flow: FlowKey) -> Option<Reason> {
+    if map.table.is_none() {
+        return Some(Reason::NoMap);
+    }
+    let Some(statement) = server.statement() else {
+        return Some(Reason::NoServer);
+    };
+    let route = map.route(flow.service);
+    if !route.is_some_and(|r| r.allows(&statement.service)) {
+        return Some(Reason::OtherService);
+    }
+    if !map.is_zone_in(&statement.zone) {
+        return Some(Reason::ZoneOut);
+    }
+    match server.closed(now) {
+        Some(Closed::Gone) => Some(Reason::NoServer),
+        Some(Closed::Draining) => Some(Reason::Draining),
+        Some(Closed::Silent) => Some(Reason::Silent),
+        None => None,
+    }
+}
+
+/// Bounds the opening packets that a cold server gets.
+#[derive(Debug, Default)]
+pub struct ColdBudget {
+    taken: VecDeque<Instant>,
+}
+
+impl ColdBudget {
+    /// Takes one opening packet out of the budget; false if there is none left.
+    pub fn take(&mut self, now: Instant, rate: RequestRate) -> bool {
+        while self.taken.front().is_some_and(|at| now >= *at + COLD_WINDOW) {
+            self.taken.pop_front();
+        }
+        // A server that bears less than one request a second still gets one at a time.
+        let most = (rate.get() * COLD_SHARE).max(1.0);
+        #[expect(clippy::cast_precision_loss, reason = "the budget is far below 2^52")]
+        let left = (self.taken.len() as f64) + 1.0 <= most;
+        if left {
+            self.taken.push_back(now);
+        }
+        left
+    }
+}
--- /dev/null
+++ b/crates/core/src/forwarded/mesh.rs
@@ -0,0 +1,344 @@
+//! What a node knows of the other nodes.
+//!
+//! Every node greets control hosts, which answer with the addresses of all nodes that greet them.
+//! Balancers and agents greet each other as well; an agent's greeting carries the [`ServerReport`] of
+//! its backend server. What a node says of itself is taken only from the node itself, so nothing that
+//! is passed on can be older than what was heard before.
+//!
+//! A greeting also says how long ago its sender heard the receiver. So each end learns whether the
+//! other hears it, and a path that carries packets one way only is not taken for a good one.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+use derive_more::{Display, From, Into};
+
+use super::keepers::KeeperRing;
+use super::node::NodeRole;
+use super::service_map::ServiceLabel;
+use crate::ids::{AvailabilityZone, LogIndex};
+
+/// Shortest time between two greetings to one node: a lost agent is noticed within three of them.
+pub const GREETING_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for each known node that is added to the interval, so that greetings stay within 250 a second.
+const GREETING_PACE: Duration = Duration::from_millis(4);
+/// Greetings that a node may miss before it counts as lost; one lost datagram must not do it.
+const MISSED_GREETINGS: u32 = 3;
+/// Time after the first greeting in which a node need not have heard this one yet.
+const FIRST_CONTACT: Duration = Duration::from_secs(2);
+/// Time after which a node that neither greets nor is listed is forgotten; far above every cut that
+/// heals by itself within seconds.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+
+/// One life of a process, drawn at its start.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, From, Into, PartialEq)]
+#[display("{_0:016x}")]
+pub struct Boot(u64);
+
+impl Boot {
+    /// Makes a boot from its number.
+    pub const fn new(value: u64) -> Self {
+        Self(value)
+    }
+
+    /// The number itself.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+/// What an agent says of its backend server.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerReport {
+    /// The service that it is of.
+    pub service: ServiceLabel,
+    /// Its availability zone.
+    pub zone: AvailabilityZone,
+    /// Whether new flows may go to it.
+    pub open: bool,
+    /// Whether it has just started and is slow.
+    pub cold: bool,
+    /// Requests that it works on or is about to get.
+    pub busy: u32,
+    /// Flows that end at it.
+    pub flows: u32,
+    /// Requests that it works on at once.
+    pub slots: u32,
+}
+
+/// What a node says with every message.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Greeting {
+    /// The sender's life.
+    pub boot: Boot,
+    /// What it does.
+    pub role: NodeRole,
+    /// Index of the configuration that it holds.
+    pub index: LogIndex,
+    /// How long ago it heard the receiver; none if it never did.
+    pub heard: Option<Duration>,
+    /// What an agent says of its server.
+    pub report: Option<ServerReport>,
+}
+
+/// A node by its address and role.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct NodeAddress {
+    /// The host's address.
+    pub ip: Ipv4Addr,
+    /// What runs there.
+    pub role: NodeRole,
+}
+
+/// A report and when it came.
+#[derive(Clone, Debug)]
+pub struct HeardReport {
+    /// What the agent said.
+    pub report: ServerReport,
+    /// When it came.
+    pub at: Instant,
+    /// Opening packets sent to the agent since.
+    pub sent_since: u32,
+}
+
+/// What is known of one node.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// What it does.
+    pub role: NodeRole,
+    /// Its life, once it was heard.
+    pub boot: Boot,
+    /// Index of the configuration that it said it holds.
+    pub index: LogIndex,
+    first_heard_at: Option<Instant>,
+    heard_at: Option<Instant>,
+    listed_at: Instant,
+    /// When it last heard this node, as far as it said.
+    heard_us_at: Option<Instant>,
+    greet_at: Instant,
+    /// The last report of an agent.
+    pub report: Option<HeardReport>,
+}
+
+impl Known {
+    /// When the node was last heard.
+    pub const fn heard_at(&self) -> Option<Instant> {
+        self.heard_at
+    }
+}
+
+/// What a node knows of the other nodes.
+#[derive(Debug)]
+pub struct Mesh {
+    own: NodeAddress,
+    nodes: BTreeMap<Ipv4Addr, Known>,
+    ring: KeeperRing,
+    lost_after: Duration,
+    ring_version: u64,
+}
+
+/// What became known by a greeting.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct News {
+    /// The node was not heard before, or not for long.
+    pub is_new: bool,
+    /// The node was heard before in another life.
+    pub restarted: bool,
+}
+
+impl Mesh {
+    /// Makes the view of the node at `own`, which knows nobody.
+    pub fn new(own: NodeAddress) -> Self {
+        Self {
+            own,
+            nodes: BTreeMap::new(),
+            ring: KeeperRing::default(),
+            lost_after: GREETING_INTERVAL * (MISSED_GREETINGS + 1),
+            ring_version: 0,
+        }
+    }
+
+    /// The node itself.
+    pub const fn own(&self) -> NodeAddress {
+        self.own
+    }
+
+    /// Time between two greetings to one node.
+    pub fn greeting_interval(&self) -> Duration {
+        let nodes = u32::try_from(self.nodes.len()).unwrap_or(u32::MAX);
+        GREETING_INTERVAL.max(GREETING_PACE.saturating_mul(nodes))
+    }
+
+    /// The node `address` is said to be there.
+    pub fn learn(&mut self, now: Instant, address: NodeAddress) {
+        if address.ip == self.own.ip {
+            return;
+        }
+        let known = self.nodes.entry(address.ip).or_insert_with(|| Known {
+            role: address.role,
+            boot: Boot::default(),
+            index: LogIndex::default(),
+            first_heard_at: None,
+            heard_at: None,
+            listed_at: now,
+            heard_us_at: None,
+            greet_at: now,
+            report: None,
+        });
+        known.listed_at = now;
+    }
+
+    /// A node greeted this one.
+    pub fn on_greeting(&mut self, now: Instant, from: Ipv4Addr, greeting: Greeting) -> News {
+        let role = greeting.role;
+        self.learn(now, NodeAddress { ip: from, role });
+        let lost_after = self.lost_after;
+        let Some(known) = self.nodes.get_mut(&from) else {
+            return News::default();
+        };
+        let was_there = known.heard_at.is_some_and(|at| now < at + lost_after);
+        let news = News {
+            is_new: !was_there,
+            restarted: known.heard_at.is_some() && known.boot != greeting.boot,
+        };
+        if news.restarted || !was_there {
+            known.first_heard_at = Some(now);
+            known.heard_us_at = None;
+        }
+        known.role = role;
+        known.boot = greeting.boot;
+        known.index = greeting.index;
+        known.heard_at = Some(now);
+        let heard_us_at = greeting.heard.and_then(|age| now.checked_sub(age));
+        known.heard_us_at = known.heard_us_at.max(heard_us_at);
+        known.report = greeting.report.map(|report| HeardReport {
+            report,
+            at: now,
+            sent_since: 0,
+        });
+        if role == NodeRole::Agent && (news.is_new || news.restarted) {
+            self.renew_ring(now);
+        }
+        news
+    }
+
+    /// Nodes that are due a greeting; each is due again an interval later.
+    pub fn due(&mut self, now: Instant) -> Vec<NodeAddress> {
+        let again_at = now + self.greeting_interval();
+        let own = self.own.role;
+        let greeted = |role| match own {
+            NodeRole::Control => false,
+            NodeRole::Balancer => role != NodeRole::Balancer,
+            NodeRole::Agent => true,
+        };
+        let due = self.nodes.iter_mut();
+        let due = due.filter(|(_, k)| greeted(k.role) && k.greet_at <= now);
+        due.map(|(ip, known)| {
+            known.greet_at = again_at;
+            NodeAddress {
+                ip: *ip,
+                role: known.role,
+            }
+        })
+        .collect()
+    }
+
+    /// Every node is due a greeting at once, because what this one says has changed.
+    pub fn greet_soon(&mut self, now: Instant, at: Instant) {
+        for known in self.nodes.values_mut() {
+            known.greet_at = known.greet_at.min(at.max(now));
+        }
+    }
+
+    /// How long ago `ip` was heard.
+    pub fn heard_age(&self, now: Instant, ip: Ipv4Addr) -> Option<Duration> {
+        let heard_at = self.nodes.get(&ip)?.heard_at?;
+        Some(now.saturating_duration_since(heard_at))
+    }
+
+    /// Forgets nodes that are gone, and notices those that fell silent.
+    pub fn on_tick(&mut self, now: Instant) {
+        self.lost_after = self.greeting_interval() * MISSED_GREETINGS + GREETING_INTERVAL;
+        self.nodes.retain(|_, known| {
+            let last = known.heard_at.map_or(known.listed_at, |at| at.max(known.listed_at));
+            now < last + FORGET_AFTER
+        });
+        self.renew_ring(now);
+    }
+
+    fn renew_ring(&mut self, now: Instant) {
+        let mut agents: Vec<_> = self.live(now, NodeRole::Agent).map(|(ip, k)| (ip, k.boot)).collect();
+        if self.own.role == NodeRole::Agent {
+            agents.push((self.own.ip, Boot::default()));
+        }
+        if self.ring.renew(&agents) {
+            self.ring_version += 1;
+        }
+    }
+
+    /// Rises when the keepers of some flow may have changed, or one of them started anew.
+    pub const fn ring_version(&self) -> u64 {
+        self.ring_version
+    }
+
+    /// Which agents keep which flow.
+    pub const fn ring(&self) -> &KeeperRing {
+        &self.ring
+    }
+
+    /// What is known of the node at `ip`.
+    pub fn get(&self, ip: Ipv4Addr) -> Option<&Known> {
+        self.nodes.get(&ip)
+    }
+
+    /// All nodes.
+    pub fn nodes(&self) -> impl Iterator<Item = (Ipv4Addr, &Known)> {
+        self.nodes.iter().map(|(ip, known)| (*ip, known))
+    }
+
+    /// Whether the node at `ip` was heard lately.
+    pub fn is_live(&self, now: Instant, ip: Ipv4Addr) -> bool {
+        self.get(ip).is_some_and(|k| self.is_heard(now, k))
+    }
+
+    fn is_heard(&self, now: Instant, known: &Known) -> bool {
+        known.heard_at.is_some_and(|at| now < at + self.lost_after)
+    }
+
+    /// Nodes of a role that were heard lately.
+    pub fn live(&self, now: Instant, role: NodeRole) -> impl Iterator<Item = (Ipv4Addr, &Known)> {
+        let of_role = self.nodes().filter(move |(_, k)| k.role == role);
+        of_role.filter(move |(_, k)| self.is_heard(now, k))
+    }
+
+    /// Whether packets get through to a node, as far as it said. One that was just heard for the
+    /// first time has had no occasion to say so.
+    fn is_reached(&self, now: Instant, known: &Known) -> bool {
+        let fresh = known.first_heard_at.is_some_and(|at| now < at + FIRST_CONTACT);
+        let reached = known.heard_us_at.is_some_and(|at| now < at + self.lost_after);
+        reached || (fresh && known.heard_us_at.is_none())
+    }
+
+    /// Agents of `service` that take new flows, are heard and hear this node.
+    pub fn open_agents<'a>(
+        &'a self,
+        now: Instant,
+        service: &'a ServiceLabel,
+    ) -> impl Iterator<Item = (Ipv4Addr, &'a HeardReport)> {
+        let live = self.live(now, NodeRole::Agent);
+        live.filter_map(move |(ip, known)| {
+            let heard = known.report.as_ref()?;
+            let fits = heard.report.open && heard.report.service == *service;
+            (fits && self.is_reached(now, known)).then_some((ip, heard))
+        })
+    }
+
+    /// Notes that an opening packet went to the agent at `ip`.
+    pub fn on_placed(&mut self, ip: Ipv4Addr) {
+        let known = self.nodes.get_mut(&ip);
+        if let Some(report) = known.and_then(|k| k.report.as_mut()) {
+            report.sent_since += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/forwarded/server.rs
@@ -0,0 +1,243 @@
+//! One backend server, as the agent beside it knows it.
+//!
+//! A server reports about itself. Reports may be late or come from an earlier life, so each names the
+//! start of its life and a sequence number, and only news is taken. A server that leaves says so; one
+//! that crashes says nothing, and is noticed by reports that stay out, by opening packets that it does
+//! not answer and by its closed port.
+
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use derive_more::Display;
+
+use super::service_map::ServiceLabel;
+use crate::ids::{AvailabilityZone, Sequence};
+use crate::time::UnixMillis;
+
+/// Report intervals that may pass before a server counts as lost: one report may be lost, the next
+/// late.
+const MISSED_REPORTS: f64 = 2.5;
+/// Report intervals after which a look at the server's port settles whether it is still there.
+const DOUBTFUL_REPORTS: f64 = 1.5;
+/// Time between two looks at the port; each costs the server a connection.
+const PORT_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two opening packets that a silent server still gets, to notice that it is back.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Whether a server takes new flows.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum ServerState {
+    /// It does.
+    #[display("ready")]
+    Ready,
+    /// It leaves soon.
+    #[display("draining")]
+    Draining,
+}
+
+/// What a server says of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerStatement {
+    /// The name that it gave itself.
+    pub id: Box<str>,
+    /// Start of its life, by its own clock.
+    pub born: UnixMillis,
+    /// Counts its statements.
+    pub sequence: Sequence,
+    /// Its service.
+    pub service: ServiceLabel,
+    /// Where it is reached.
+    pub address: SocketAddrV4,
+    /// Its availability zone.
+    pub zone: AvailabilityZone,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it takes new flows.
+    pub state: ServerState,
+    /// How much longer it is slow after its start.
+    pub cold_remaining: Duration,
+}
+
+/// What a statement changed.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum StatementOutcome {
+    /// Nothing: it is older than what is known.
+    #[display("stale")]
+    Stale,
+    /// The server is as it was.
+    #[display("unchanged")]
+    Unchanged,
+    /// The server's state changed.
+    #[display("changed")]
+    Changed,
+    /// Another life has begun; the one before is over.
+    #[display("new life")]
+    NewLife,
+}
+
+/// Counts the lives of the server that an agent has seen.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Life(u32);
+
+#[derive(Debug)]
+struct Current {
+    statement: ServerStatement,
+    heard_at: Instant,
+    cold_until: Instant,
+    is_over: bool,
+}
+
+/// Why a server gets no opening packets.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Closed {
+    /// It has not reported, or its life is over.
+    #[display("gone")]
+    Gone,
+    /// It leaves.
+    #[display("draining")]
+    Draining,
+    /// It does not answer.
+    #[display("silent")]
+    Silent,
+}
+
+/// The server beside an agent.
+#[derive(Debug)]
+pub struct Server {
+    report_interval: Duration,
+    life: Life,
+    current: Option<Current>,
+    /// Set while it does not answer opening packets: when it gets the next one to try.
+    trial_at: Option<Instant>,
+    port_check_at: Instant,
+}
+
+impl Server {
+    /// Makes the view of a server that has not reported yet.
+    pub const fn new(now: Instant, report_interval: Duration) -> Self {
+        Self {
+            report_interval,
+            life: Life(0),
+            current: None,
+            trial_at: None,
+            port_check_at: now,
+        }
+    }
+
+    /// The life that is current, or was last.
+    pub const fn life(&self) -> Life {
+        self.life
+    }
+
+    /// The last statement of the current life.
+    pub fn statement(&self) -> Option<&ServerStatement> {
+        let current = self.current.as_ref().filter(|c| !c.is_over)?;
+        Some(&current.statement)
+    }
+
+    /// The server reported.
+    pub fn on_statement(&mut self, now: Instant, statement: ServerStatement) -> StatementOutcome {
+        let cold_until = now + statement.cold_remaining;
+        let fresh = |statement| Current {
+            statement,
+            heard_at: now,
+            cold_until,
+            is_over: false,
+        };
+        let Some(current) = &mut self.current else {
+            self.current = Some(fresh(statement));
+            return StatementOutcome::NewLife;
+        };
+        let known = &current.statement;
+        if known.id == statement.id && known.born == statement.born {
+            if statement.sequence <= known.sequence || current.is_over {
+                return StatementOutcome::Stale;
+            }
+            let changed = known.state != statement.state || known.slots != statement.slots;
+            *current = fresh(statement);
+            return if changed {
+                StatementOutcome::Changed
+            } else {
+                StatementOutcome::Unchanged
+            };
+        }
+        if statement.born < known.born {
+            return StatementOutcome::Stale;
+        }
+        self.current = Some(fresh(statement));
+        self.life = Life(self.life.0 + 1);
+        self.trial_at = None;
+        StatementOutcome::NewLife
+    }
+
+    /// The server of that name says that it goes; false if it is not the current one.
+    pub fn on_leave(&mut self, id: &str) -> bool {
+        let current = self.current.as_mut().filter(|c| &*c.statement.id == id);
+        current.map(|c| c.is_over = true).is_some()
+    }
+
+    /// Nothing listens at the server's port: the process is gone. True if it was there before.
+    pub fn on_port_closed(&mut self) -> bool {
+        let current = self.current.as_mut().filter(|c| !c.is_over);
+        current.map(|c| c.is_over = true).is_some()
+    }
+
+    /// The server sent a packet.
+    pub const fn on_packet(&mut self) {
+        self.trial_at = None;
+    }
+
+    /// The server did not answer an opening packet; true if it did answer before.
+    pub fn on_unanswered(&mut self, now: Instant) -> bool {
+        let answered_before = self.trial_at.is_none();
+        if answered_before {
+            self.trial_at = Some(now + TRIAL_INTERVAL);
+        }
+        answered_before
+    }
+
+    /// Whether an opening packet may go to a silent server, to see if it is back.
+    pub fn take_trial(&mut self, now: Instant) -> bool {
+        let due = self.trial_at.is_some_and(|at| at <= now);
+        if due {
+            self.trial_at = Some(now + TRIAL_INTERVAL);
+        }
+        due
+    }
+
+    /// Whether to look at the server's port now.
+    pub fn take_port_check(&mut self, now: Instant) -> bool {
+        let Some(current) = self.current.as_ref().filter(|c| !c.is_over) else {
+            return false;
+        };
+        let overdue = now > current.heard_at + self.report_interval.mul_f64(DOUBTFUL_REPORTS);
+        let due = (overdue || self.trial_at.is_some()) && self.port_check_at <= now;
+        if due {
+            self.port_check_at = now + PORT_CHECK_INTERVAL;
+        }
+        due
+    }
+
+    /// Why the server gets no opening packets; none if it does.
+    pub fn closed(&self, now: Instant) -> Option<Closed> {
+        let Some(current) = self.current.as_ref().filter(|c| !c.is_over) else {
+            return Some(Closed::Gone);
+        };
+        if current.statement.state == ServerState::Draining {
+            return Some(Closed::Draining);
+        }
+        let lost_at = current.heard_at + self.report_interval.mul_f64(MISSED_REPORTS);
+        (now > lost_at || self.trial_at.is_some()).then_some(Closed::Silent)
+    }
+
+    /// Whether the server has just started and is slow.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.current.as_ref().is_some_and(|c| now < c.cold_until)
+    }
+
+    /// How long ago the server reported.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let current = self.current.as_ref()?;
+        Some(now.saturating_duration_since(current.heard_at))
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,7 +11,7 @@
 //! packet or passes it on ([`steering`]); its answers leave by [`return_ring`]. Each request then
 //! needs a claim on its key ([`claims`]) and a place at the backend server ([`admission`], [`ramp`])
 //! or at that of a peer ([`handoff`]); [`retry`] bounds second tries, and [`slo`] counts how it
-//! went. Identifiers are in [`ids`], and [`verdict`] says what a refusal means for the caller.
+//! went. [`forwarded`] is the other kind of flow, which ends at the backend server itself. Identifiers are in [`ids`], and [`verdict`] says what a refusal means for the caller.
 
 pub mod admission;
 pub mod changes;
@@ -25,6 +25,7 @@
 pub mod flow;
 pub mod flow_load;
 pub mod flow_table;
+pub mod forwarded;
 pub mod handoff;
 pub mod ids;
 pub mod owner_history;
--- a/crates/spread/src/config_delta.rs
+++ b/crates/spread/src/config_delta.rs
@@ -54,6 +54,7 @@
             zones,
             regions,
             claim_groups,
+            document: None,
         };
         let removed = Removed {
             profiles: no_profiles,
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -9,6 +9,7 @@
 mod command;
 mod config;
 mod consensus;
+pub mod forwarded;
 mod operator;
 pub mod peers;
 mod record;
--- a/crates/wire/src/convert/command.rs
+++ b/crates/wire/src/convert/command.rs
@@ -41,6 +41,7 @@
             Change::Profile(p) => ChangeKind::Profile(p.into()),
             Change::Zone(z) => ChangeKind::Zone(z.into()),
             Change::ClaimGroup(g) => ChangeKind::ClaimGroup(g.into()),
+            Change::Document(d) => ChangeKind::Document(d.into()),
         };
         Self { kind: Some(kind) }
     }
@@ -53,6 +54,7 @@
             ChangeKind::Profile(p) => Change::Profile(p.try_into()?),
             ChangeKind::Zone(z) => Change::Zone(z.try_into()?),
             ChangeKind::ClaimGroup(g) => Change::ClaimGroup(g.try_into()?),
+            ChangeKind::Document(d) => Change::Document(d.into()),
         },
     )
 }
--- a/crates/wire/src/convert/config.rs
+++ b/crates/wire/src/convert/config.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dogwoodrill_core::config::{
-    ClaimGroup, ClaimKeeper, CommittedConfig, PerMille, Priority, Profile, Service, ZoneState,
+    ClaimGroup, ClaimKeeper, CommittedConfig, Document, PerMille, Priority, Profile, Service, ZoneState,
     ZoneStatus,
 };
 use dogwoodrill_core::ids::{AvailabilityZone, RegionName};
@@ -20,6 +20,7 @@
             zones: c.zones.values().map(Into::into).collect(),
             claim_groups: c.claim_groups.values().map(Into::into).collect(),
             regions: c.regions.iter().map(region_to_wire).collect(),
+            document: c.document.as_ref().map(Into::into),
         }
     }
 }
@@ -30,6 +31,7 @@
     fn try_from(c: wire::Config) -> Result<Self, Self::Error> {
         let mut config = Self {
             index: c.index.into(),
+            document: c.document.map(Into::into),
             ..Self::default()
         };
         for profile in c.profiles {
@@ -174,6 +176,24 @@
     }
 }
 
+impl From<&Document> for wire::Document {
+    fn from(d: &Document) -> Self {
+        Self {
+            version: d.version.into(),
+            body: d.body.to_vec(),
+        }
+    }
+}
+
+impl From<wire::Document> for Document {
+    fn from(d: wire::Document) -> Self {
+        Self {
+            version: d.version.into(),
+            body: d.body.into(),
+        }
+    }
+}
+
 impl From<&ClaimGroup> for wire::ClaimGroup {
     fn from(g: &ClaimGroup) -> Self {
         Self {
--- /dev/null
+++ b/crates/wire/src/convert/forwarded.rs
@@ -0,0 +1,268 @@
+//! Datagrams between the nodes that forward flows, and the configuration that they fetch.
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+
+use dogwoodrill_core::forwarded::keepers::FlowPlace;
+use dogwoodrill_core::forwarded::mesh::{Boot, Greeting, NodeAddress, ServerReport};
+use dogwoodrill_core::forwarded::node::NodeRole;
+use dogwoodrill_core::forwarded::packet::FlowKey;
+use dogwoodrill_core::forwarded::service_map::{
+    RequestRate, Route, RouteTable, ServiceLabel, ServiceMap, ServiceTerms, Target, Weight,
+};
+
+use super::{ConvertError, name, narrow};
+use crate::proto::forwarded as wire;
+
+/// What one datagram says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Datagram {
+    /// What the sender says of itself.
+    pub greeting: Greeting,
+    /// Flows that are at the sender.
+    pub places: Vec<FlowPlace>,
+    /// Nodes that the sender, a control host, knows.
+    pub nodes: Vec<NodeAddress>,
+}
+
+impl From<&Datagram> for wire::Datagram {
+    fn from(d: &Datagram) -> Self {
+        let greeting = &d.greeting;
+        let heard_ms = greeting.heard.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
+        Self {
+            boot: greeting.boot.get(),
+            role: wire::Role::from(greeting.role).into(),
+            config_index: greeting.index.into(),
+            heard_ms,
+            report: greeting.report.as_ref().map(Into::into),
+            places: d.places.iter().map(Into::into).collect(),
+            nodes: (!d.nodes.is_empty()).then(|| node_list(&d.nodes)),
+        }
+    }
+}
+
+impl TryFrom<wire::Datagram> for Datagram {
+    type Error = ConvertError;
+
+    fn try_from(d: wire::Datagram) -> Result<Self, Self::Error> {
+        let role = NodeRole::try_from(d.role())?;
+        let report = d.report.map(ServerReport::try_from).transpose()?;
+        let places = d.places.into_iter().map(FlowPlace::try_from);
+        Ok(Self {
+            greeting: Greeting {
+                boot: Boot::new(d.boot),
+                role,
+                index: d.config_index.into(),
+                heard: d.heard_ms.map(|ms| Duration::from_millis(ms.into())),
+                report,
+            },
+            places: places.collect::<Result<_, _>>()?,
+            nodes: d.nodes.map_or_else(Vec::new, addresses),
+        })
+    }
+}
+
+fn node_list(nodes: &[NodeAddress]) -> wire::NodeList {
+    let of = |role| {
+        let ips = nodes.iter().filter(move |n| n.role == role);
+        ips.map(|n| n.ip.to_bits()).collect()
+    };
+    wire::NodeList {
+        balancers: of(NodeRole::Balancer),
+        agents: of(NodeRole::Agent),
+        controls: of(NodeRole::Control),
+    }
+}
+
+fn addresses(list: wire::NodeList) -> Vec<NodeAddress> {
+    let of = |ips: Vec<u32>, role| {
+        let addresses = ips.into_iter().map(Ipv4Addr::from_bits);
+        addresses.map(move |ip| NodeAddress { ip, role })
+    };
+    let balancers = of(list.balancers, NodeRole::Balancer);
+    let agents = of(list.agents, NodeRole::Agent);
+    let controls = of(list.controls, NodeRole::Control);
+    balancers.chain(agents).chain(controls).collect()
+}
+
+impl From<NodeRole> for wire::Role {
+    fn from(role: NodeRole) -> Self {
+        match role {
+            NodeRole::Balancer => Self::Balancer,
+            NodeRole::Agent => Self::Agent,
+            NodeRole::Control => Self::Control,
+        }
+    }
+}
+
+impl TryFrom<wire::Role> for NodeRole {
+    type Error = ConvertError;
+
+    fn try_from(role: wire::Role) -> Result<Self, Self::Error> {
+        match role {
+            wire::Role::Balancer => Ok(Self::Balancer),
+            wire::Role::Agent => Ok(Self::Agent),
+            wire::Role::Control => Ok(Self::Control),
+            wire::Role::Unspecified => Err(ConvertError::Missing { field: "role" }),
+        }
+    }
+}
+
+impl From<&ServerReport> for wire::ServerReport {
+    fn from(r: &ServerReport) -> Self {
+        Self {
+            service: r.service.to_string(),
+            zone: r.zone.to_string(),
+            open: r.open,
+            cold: r.cold,
+            busy: r.busy,
+            flows: r.flows,
+            slots: r.slots,
+        }
+    }
+}
+
+impl TryFrom<wire::ServerReport> for ServerReport {
+    type Error = ConvertError;
+
+    fn try_from(r: wire::ServerReport) -> Result<Self, Self::Error> {
+        Ok(Self {
+            service: r.service.into(),
+            zone: name("zone", r.zone)?,
+            open: r.open,
+            cold: r.cold,
+            busy: r.busy,
+            flows: r.flows,
+            slots: r.slots,
+        })
+    }
+}
+
+impl From<&FlowPlace> for wire::FlowPlace {
+    fn from(p: &FlowPlace) -> Self {
+        Self {
+            caller_ip: p.flow.caller.ip().to_bits(),
+            caller_port: p.flow.caller.port().into(),
+            service_ip: p.flow.service.ip().to_bits(),
+            service_port: p.flow.service.port().into(),
+            server_seq: p.server_seq,
+        }
+    }
+}
+
+impl TryFrom<wire::FlowPlace> for FlowPlace {
+    type Error = ConvertError;
+
+    fn try_from(p: wire::FlowPlace) -> Result<Self, Self::Error> {
+        let flow = FlowKey {
+            caller: end("caller port", p.caller_ip, p.caller_port)?,
+            service: end("service port", p.service_ip, p.service_port)?,
+        };
+        Ok(Self {
+            flow,
+            server_seq: p.server_seq,
+        })
+    }
+}
+
+fn end(field: &'static str, ip: u32, port: u32) -> Result<SocketAddrV4, ConvertError> {
+    Ok(SocketAddrV4::new(Ipv4Addr::from_bits(ip), narrow(field, port)?))
+}
+
+impl From<&ServiceMap> for wire::ServiceMap {
+    fn from(m: &ServiceMap) -> Self {
+        Self {
+            config_index: m.index.into(),
+            table: m.table.as_deref().map(Into::into),
+            zones_out: m.zones_out.iter().map(ToString::to_string).collect(),
+        }
+    }
+}
+
+impl TryFrom<wire::ServiceMap> for ServiceMap {
+    type Error = ConvertError;
+
+    fn try_from(m: wire::ServiceMap) -> Result<Self, Self::Error> {
+        let table = m.table.map(RouteTable::try_from).transpose()?;
+        let zones_out = m.zones_out.into_iter().map(|zone| name("zone", zone));
+        Ok(Self {
+            index: m.config_index.into(),
+            table: table.map(Arc::new),
+            zones_out: zones_out.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl From<&RouteTable> for wire::RouteTable {
+    fn from(t: &RouteTable) -> Self {
+        let services = t.services.iter().map(|(label, terms)| wire::Service {
+            name: label.to_string(),
+            cold_rate: terms.cold_rate.map(RequestRate::get),
+        });
+        let labels = t.services.keys().zip(0_u32..);
+        let positions: HashMap<_, _> = labels.collect();
+        let mut routes: Vec<_> = t.routes.iter().collect();
+        routes.sort_by_key(|(address, _)| **address);
+        let routes = routes.into_iter().map(|(address, route)| wire::Route {
+            ip: address.ip().to_bits(),
+            port: address.port().into(),
+            targets: targets(route, &positions),
+        });
+        Self {
+            version: t.version.into(),
+            routes: routes.collect(),
+            services: services.collect(),
+            idle_timeout_ms: u32::try_from(t.idle_timeout.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+/// A target whose service is not listed cannot be reached and is left out.
+fn targets(route: &Route, positions: &HashMap<&ServiceLabel, u32>) -> Vec<wire::Target> {
+    let targets = route.targets.iter().filter_map(|target| {
+        let service = *positions.get(&target.service)?;
+        let weight = target.weight.get();
+        Some(wire::Target { service, weight })
+    });
+    targets.collect()
+}
+
+impl TryFrom<wire::RouteTable> for RouteTable {
+    type Error = ConvertError;
+
+    fn try_from(t: wire::RouteTable) -> Result<Self, Self::Error> {
+        let services = t.services.into_iter().map(|s| {
+            let cold_rate = s.cold_rate.map(RequestRate::new);
+            (ServiceLabel::from(s.name), ServiceTerms { cold_rate })
+        });
+        let services: Vec<_> = services.collect();
+        let mut routes = HashMap::with_capacity(t.routes.len());
+        for route in t.routes {
+            let address = end("route port", route.ip, route.port)?;
+            let targets = route.targets.into_iter().map(|t| target(&services, &t));
+            let targets = targets.collect::<Result<_, _>>()?;
+            routes.insert(address, Route { targets });
+        }
+        Ok(Self {
+            version: t.version.into(),
+            routes,
+            services: services.into_iter().collect(),
+            idle_timeout: Duration::from_millis(t.idle_timeout_ms.into()),
+        })
+    }
+}
+
+fn target(
+    services: &[(ServiceLabel, ServiceTerms)],
+    target: &wire::Target,
+) -> Result<Target, ConvertError> {
+    let position = usize::try_from(target.service).ok();
+    let service = position.and_then(|at| services.get(at));
+    let (service, _) = service.ok_or(ConvertError::OutOfRange { field: "service" })?;
+    Ok(Target {
+        service: service.clone(),
+        weight: Weight::new(target.weight),
+    })
+}
--- a/crates/wire/src/convert/operator.rs
+++ b/crates/wire/src/convert/operator.rs
@@ -27,7 +27,7 @@
             Change::Zone(zone) => Ok(Self::Zone(wire::ZoneChange {
                 zone: Some(zone.into()),
             })),
-            Change::ClaimGroup(_) => Err(NOT_FOR_OPERATORS),
+            Change::ClaimGroup(_) | Change::Document(_) => Err(NOT_FOR_OPERATORS),
         }
     }
 }
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -54,3 +54,8 @@
     /// What a report on service levels asks of the nodes.
     report, "generated/dogwoodrill.report.v1.rs"
 }
+
+generated! {
+    /// Messages between the nodes that forward flows.
+    forwarded, "generated/dogwoodrill.forwarded.v1.rs"
+}
--- a/src/bin/dogwoodrill/main.rs
+++ b/src/bin/dogwoodrill/main.rs
@@ -2,8 +2,9 @@
 
 use std::process::ExitCode;
 
-use dogwoodrill::ops::EXIT_USAGE;
+use dogwoodrill::ops::{EXIT_FAILED, EXIT_USAGE};
 use gumdrop::{Options, ParsingStyle};
+use tokio::runtime::Builder;
 
 mod agent;
 mod balancer;
@@ -11,6 +12,7 @@
 mod check_config;
 mod control;
 mod load;
+mod node;
 mod output;
 mod profile;
 mod report;
@@ -49,6 +51,8 @@
     Agent(agent::Cli),
     #[options(help = "run a control host: keep what operators decide")]
     Control(control::Cli),
+    #[options(help = "run a process of the platform")]
+    Node(node::Cli),
     #[options(help = "find all faults of settings files")]
     CheckConfig(check_config::Cli),
     #[options(help = "read and change profiles")]
@@ -65,8 +69,7 @@
     Certs(certs::Cli),
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let args: Vec<_> = std::env::args().skip(1).collect();
     match Cli::parse_args(&args, ParsingStyle::AllOptions) {
         Ok(cli) if cli.help_requested() => help(&cli),
@@ -75,18 +78,34 @@
             ExitCode::SUCCESS
         }
         Ok(cli) => match cli.command {
-            Some(command) => run(command).await.print(),
+            Some(command) => start(command),
             None => misused("no command given"),
         },
         Err(e) => misused(&e.to_string()),
     }
 }
 
+/// A node has a small part of one processor: more threads than one would only take turns on it.
+fn start(command: Command) -> ExitCode {
+    let mut builder = match command {
+        Command::Node(_) => Builder::new_current_thread(),
+        _ => Builder::new_multi_thread(),
+    };
+    match builder.enable_all().build() {
+        Ok(runtime) => runtime.block_on(run(command)).print(),
+        Err(e) => {
+            eprintln!("error: cannot start the runtime: {e}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
 async fn run(command: Command) -> Report {
     match command {
         Command::Balancer(cli) => balancer::run(cli).await,
         Command::Agent(cli) => agent::run(cli).await,
         Command::Control(cli) => control::run(cli).await,
+        Command::Node(cli) => node::run(cli).await,
         Command::CheckConfig(cli) => check_config::run(cli),
         Command::Profile(cli) => profile::run(cli).await,
         Command::Zone(cli) => zone::run(cli).await,
--- a/src/control.rs
+++ b/src/control.rs
@@ -29,14 +29,14 @@
 pub mod driver;
 pub mod handle;
 mod keepers;
-mod members;
+pub(crate) mod members;
 mod metrics;
 mod operators;
 mod peers;
 pub mod place;
 pub mod replica;
 mod spread;
-mod storage;
+pub(crate) mod storage;
 
 use driver::{Driver, DriverError};
 use handle::Handle;
@@ -156,7 +156,7 @@
             .await
             .context(BindSnafu { address })?;
         let address = listener.local_addr().context(BindSnafu { address })?;
-        let storage = Storage::open(cx.node, &options.data)?;
+        let storage = Storage::open(cx.node, &options.data, None)?;
         let cluster = Arc::new(Cluster::default());
         let (handle, inputs) = handle::channel();
         let driver = Driver::new(&cx, &cluster, storage, address, options.initial, inputs);
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -93,7 +93,7 @@
 
 impl Driver {
     /// Makes the driver of a host whose data folder is open.
-    pub(super) fn new(
+    pub(crate) fn new(
         cx: &Cx,
         cluster: &Arc<Cluster>,
         storage: Storage,
@@ -125,6 +125,12 @@
         }
     }
 
+    /// The same driver, which takes hosts in by itself until there are `wanted` voters.
+    pub(crate) fn with_voters(mut self, wanted: usize) -> Self {
+        self.replica.want_voters(wanted);
+        self
+    }
+
     /// Runs until `token` is cancelled or the disk fails.
     pub async fn run(mut self, token: CancellationToken) -> Result<(), DriverError> {
         let ended = self.drive(&token).await;
@@ -175,7 +181,10 @@
                 from,
                 envelope,
             } => return self.on_message(cluster, from, envelope).await,
-            Input::Found { membership } => return self.found(membership).await,
+            Input::Found {
+                membership,
+                cluster,
+            } => return self.found(membership, cluster).await,
             Input::Propose { id, change, reply } => {
                 let ticket = self.ticket();
                 self.changes.insert(ticket, reply);
@@ -196,7 +205,10 @@
                 member,
                 replaces,
                 reply,
-            } => drop(reply.send(self.replica.join(now, &member, replaces))),
+            } => drop(reply.send(match replaces {
+                Some(lost) => self.replica.join(now, &member, lost),
+                None => self.replica.join_where_needed(now, &member),
+            })),
         }
         Ok(())
     }
@@ -238,7 +250,11 @@
 
     /// Starts a cluster from the initial configuration. The log comes before the identity: until that
     /// names a cluster nothing leaves this host, and it may be founded again.
-    async fn found(&mut self, membership: Membership) -> Result<(), DriverError> {
+    async fn found(
+        &mut self,
+        membership: Membership,
+        cluster: Option<ClusterId>,
+    ) -> Result<(), DriverError> {
         if self.identity.cluster.is_some() {
             return Ok(());
         }
@@ -262,9 +278,11 @@
         };
         let first = Batch::Rewrite(restored.clone());
         self.with_store(move |store| store.write(&first)).await?;
-        self.enter_cluster(ClusterId::new(rand::random_range(1..=u64::MAX)))
-            .await?;
+        let drawn = || ClusterId::new(rand::random_range(1..=u64::MAX));
+        self.enter_cluster(cluster.unwrap_or_else(drawn)).await?;
+        let wanted = self.replica.wanted_voters();
         self.replica = replica(&self.identity, restored, Instant::now());
+        self.replica.want_voters(wanted);
         Ok(())
     }
 
--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -73,8 +73,8 @@
     Join {
         /// The host.
         member: Member,
-        /// The number of the host that is replaced.
-        replaces: NodeId,
+        /// The number of the host that is replaced; none leaves it to the leader.
+        replaces: Option<NodeId>,
         /// Who waits.
         reply: oneshot::Sender<Result<(), JoinError>>,
     },
@@ -82,6 +82,8 @@
     Found {
         /// Its members.
         membership: Membership,
+        /// Its id; none to draw one.
+        cluster: Option<ClusterId>,
     },
 }
 
@@ -128,7 +130,7 @@
     pub async fn join(
         &self,
         member: Member,
-        replaces: NodeId,
+        replaces: Option<NodeId>,
     ) -> Result<Result<(), JoinError>, NoAnswer> {
         let input = |reply| Input::Join {
             member,
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -18,12 +18,12 @@
 
 /// Serves the other control hosts.
 #[derive(Debug)]
-pub(super) struct ConsensusService {
+pub(crate) struct ConsensusService {
     handle: Handle,
 }
 
 impl ConsensusService {
-    pub(super) fn server(handle: &Handle) -> ConsensusServer<Self> {
+    pub(crate) fn server(handle: &Handle) -> ConsensusServer<Self> {
         let handle = handle.clone();
         ConsensusServer::new(Self { handle }).max_decoding_message_size(MAX_MESSAGE_BYTES)
     }
@@ -79,7 +79,9 @@
         let request = request.into_inner();
         let member = request.member.ok_or_else(|| malformed("no member"))?;
         let member = Member::try_from(member).map_err(malformed)?;
-        let joined = self.handle.join(member, request.replaces_node.into()).await;
+        let replaces = request.replaces_node;
+        let replaces = (replaces != 0).then(|| replaces.into());
+        let joined = self.handle.join(member, replaces).await;
         let answer = match joined.map_err(unavailable)? {
             Ok(()) => Answer::TakenIn(true),
             Err(refusal) => Answer::Refusal(refusal.to_string()),
--- a/src/control/operators.rs
+++ b/src/control/operators.rs
@@ -75,7 +75,7 @@
         let change = Change::try_from(change).map_err(|e| malformed(e.to_string()))?;
         let known = match &change {
             Change::Zone(zone) => self.check_zone(zone),
-            Change::Profile(_) | Change::ClaimGroup(_) => Ok(()),
+            Change::Profile(_) | Change::ClaimGroup(_) | Change::Document(_) => Ok(()),
         };
         let answer = match known {
             Ok(()) => self.handle.propose(Some(id), change).await,
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -6,12 +6,12 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use derive_more::{Display, From};
 use dogwoodrill_consensus::{
-    Apply, Batch, Entry, Envelope, JoinError, Member, MemberId, MemberProgress, Membership, Node,
+    Apply, Batch, Entry, Envelope, JoinError, Member, MemberId, MemberProgress, MemberRole, Membership, Node,
     Options, Payload, ReadId, ReadOutcome, Restored, RoleName, Snapshot, Standing, SyncMark,
 };
 use dogwoodrill_core::changes::{Accepted, Change, Command, CommandId};
@@ -27,6 +27,8 @@
 
 /// Entries after which the state takes the place of the log before it.
 const COMPACT_AFTER: u64 = 8192;
+/// Time without an answer after which another host may take a voter's place: longer than a restart.
+pub const LOST_AFTER: Duration = Duration::from_secs(3);
 
 /// Names a caller that waits for an answer.
 #[derive(Clone, Copy, Debug, Default, Display, Eq, From, Ord, PartialEq, PartialOrd)]
@@ -105,6 +107,9 @@
     confirmed_reads: BTreeMap<LogIndex, Vec<Ticket>>,
     next_read: u64,
     replies: Vec<(Ticket, Reply)>,
+    wanted_voters: usize,
+    /// Since when a voter has not answered, as seen whenever a host asked to be taken in.
+    silent_since: BTreeMap<MemberId, Instant>,
 }
 
 impl Replica {
@@ -126,9 +131,21 @@
             confirmed_reads: BTreeMap::new(),
             next_read: 0,
             replies: Vec::new(),
+            wanted_voters: 0,
+            silent_since: BTreeMap::new(),
         }
     }
 
+    /// Voters below which a host that asks is taken in without taking anyone's place.
+    pub const fn want_voters(&mut self, wanted: usize) {
+        self.wanted_voters = wanted;
+    }
+
+    /// See [`Self::want_voters`].
+    pub const fn wanted_voters(&self) -> usize {
+        self.wanted_voters
+    }
+
     /// The state as far as it is applied.
     pub const fn state(&self) -> &ControlState {
         &self.state
@@ -227,7 +244,39 @@
         if !on_own.all(belongs) {
             return Err(JoinError::NumberTaken);
         }
-        self.node.join(now, joining, replaced)
+        self.node.join(now, joining, Some(replaced))
+    }
+
+    /// Takes in a host that names nobody whose place it takes. It gets the place of a member on the
+    /// same host, whose disk is gone; a place of its own while voters are wanting; or that of a voter
+    /// that has been silent for [`LOST_AFTER`].
+    pub fn join_where_needed(&mut self, now: Instant, joining: &Member) -> Result<(), JoinError> {
+        let standing = self.standing(now);
+        let silent = standing.members.iter().filter(|m| !m.reachable);
+        let silent: Vec<_> = silent.map(|m| m.member.id).collect();
+        self.silent_since.retain(|id, _| silent.contains(id));
+        for id in silent {
+            self.silent_since.entry(id).or_insert(now);
+        }
+        let members = self.membership().members();
+        if members.iter().any(|m| m.id == joining.id) {
+            return Ok(());
+        }
+        let on_host = members.iter().find(|m| m.node == joining.node && m.replaces.is_none());
+        if let Some(replaced) = on_host.map(|m| m.id) {
+            return self.node.join(now, joining, Some(replaced));
+        }
+        let settled = members.iter().filter(|m| m.replaces.is_none()).count();
+        if settled < self.wanted_voters {
+            return self.node.join(now, joining, None);
+        }
+        let lost = members.iter().find(|m| {
+            let since = self.silent_since.get(&m.id);
+            let is_lost = since.is_some_and(|since| now >= *since + LOST_AFTER);
+            is_lost && m.role == MemberRole::Voter
+        });
+        let lost = lost.map(|m| m.id).ok_or(JoinError::NobodyToReplace)?;
+        self.node.join(now, joining, Some(lost))
     }
 
     /// What is to be done since the last call.
--- a/src/control/storage.rs
+++ b/src/control/storage.rs
@@ -11,7 +11,7 @@
 
 /// An opened data folder and what it holds.
 #[derive(Debug)]
-pub(super) struct Storage {
+pub(crate) struct Storage {
     /// Held as long as the folder is used.
     pub(super) lock: FolderLock,
     pub(super) store: FileStore<OsFolder>,
@@ -20,12 +20,16 @@
 }
 
 impl Storage {
-    /// Opens the folder; a fresh one gets an identity that no other disk has.
-    pub(super) fn open(node: NodeId, path: &Path) -> Result<Self, ControlError> {
+    /// Opens the folder; a fresh one gets the identity `host`, or one that no other disk has.
+    pub(crate) fn open(
+        node: NodeId,
+        path: &Path,
+        host: Option<MemberId>,
+    ) -> Result<Self, ControlError> {
         let lock = FolderLock::take(path)?;
         let folder = OsFolder::open(path).context(FolderSnafu { path })?;
         match FileStore::open(folder)? {
-            Opened::Fresh(folder) => Self::create(node, lock, folder),
+            Opened::Fresh(folder) => Self::create(node, lock, folder, host),
             Opened::Log(log) => {
                 log.identity.check_node(node)?;
                 if let Some(torn) = log.torn {
@@ -41,10 +45,16 @@
         }
     }
 
-    fn create(node: NodeId, lock: FolderLock, folder: OsFolder) -> Result<Self, ControlError> {
+    fn create(
+        node: NodeId,
+        lock: FolderLock,
+        folder: OsFolder,
+        host: Option<MemberId>,
+    ) -> Result<Self, ControlError> {
+        let drawn = || MemberId::new(rand::random_range(1..=u64::MAX));
         let identity = Identity {
             node,
-            host: MemberId::new(rand::random_range(1..=u64::MAX)),
+            host: host.unwrap_or_else(drawn),
             cluster: None,
         };
         let restored = Restored::default();
--- /dev/null
+++ b/src/forwarded/agent.rs
@@ -0,0 +1,424 @@
+//! The agent process: packets for its backend server in, the server's own packets out.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use dogwoodrill_core::forwarded::agent::{Action, Agent, Fate};
+use dogwoodrill_core::forwarded::keepers::FlowPlace;
+use dogwoodrill_core::forwarded::mesh::{Greeting, Mesh, NodeAddress, ServerReport};
+use dogwoodrill_core::forwarded::node::{AgentSockets, NodeRole, NodeSettings};
+use dogwoodrill_core::forwarded::packet::Header;
+use dogwoodrill_core::forwarded::server::{ServerStatement, StatementOutcome};
+use tokio::net::{TcpStream, UdpSocket};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{sleep_until, timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::datagrams::Datagrams;
+use super::fetch::{Fetched, Fetcher};
+use super::journal::{Event, Journal};
+use super::metrics::ForwardMetrics;
+use super::{Format, packets};
+use crate::context::Cx;
+
+/// Time between two looks at timers: a third of what an unanswered opening packet waits.
+const TICK: Duration = Duration::from_millis(20);
+/// Time to go on after the request to stop, for what others still send here as a keeper.
+const LINGER: Duration = Duration::from_millis(800);
+/// Shortest time between two reports of a changed load to all nodes.
+const LOAD_PACE: Duration = Duration::from_millis(25);
+/// Time for each known node that is added to it, so that reports stay within 500 a second.
+const LOAD_PACE_PER_NODE: Duration = Duration::from_millis(2);
+/// Time for a connection to the server's port; it is on the same host.
+const PORT_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Statements of the server that may wait.
+const STATEMENTS: usize = 16;
+
+/// What the server says.
+#[derive(Debug)]
+enum Said {
+    Report(ServerStatement, oneshot::Sender<StatementOutcome>),
+    Leave(Box<str>, oneshot::Sender<bool>),
+    PortClosed,
+}
+
+/// Tells the agent what its server says.
+#[derive(Clone, Debug)]
+pub struct ServerHandle {
+    tx: mpsc::Sender<Said>,
+    server: SocketAddrV4,
+}
+
+impl ServerHandle {
+    /// Where the server beside the agent is reached.
+    pub const fn server(&self) -> SocketAddrV4 {
+        self.server
+    }
+
+    /// The server reports; none once the agent has ended.
+    pub async fn report(&self, statement: ServerStatement) -> Option<StatementOutcome> {
+        let (reply, outcome) = oneshot::channel();
+        self.tx.send(Said::Report(statement, reply)).await.ok()?;
+        outcome.await.ok()
+    }
+
+    /// The server goes; none once the agent has ended.
+    pub async fn leave(&self, id: &str) -> Option<bool> {
+        let (reply, left) = oneshot::channel();
+        self.tx.send(Said::Leave(id.into(), reply)).await.ok()?;
+        left.await.ok()
+    }
+}
+
+/// An agent whose sockets are bound.
+#[derive(Debug)]
+pub struct AgentNode<F> {
+    format: F,
+    packets: UdpSocket,
+    outbound: UdpSocket,
+    port: u16,
+    server: SocketAddrV4,
+    datagrams: Datagrams,
+    fetcher: Fetcher,
+    agent: Agent,
+    /// Flows that keepers are told of at the next tick.
+    to_keepers: BTreeMap<Ipv4Addr, Vec<FlowPlace>>,
+    last_report: Option<ServerReport>,
+    report_from: Instant,
+    said: mpsc::Receiver<Said>,
+    handle: ServerHandle,
+    journal: Journal,
+    metrics: ForwardMetrics,
+    ready: watch::Sender<bool>,
+    stop_at: Option<Instant>,
+}
+
+impl<F: Format> AgentNode<F> {
+    /// Binds the sockets.
+    pub fn bind(
+        cx: &Cx,
+        settings: &NodeSettings,
+        sockets: &AgentSockets,
+        format: F,
+        journal: Journal,
+    ) -> io::Result<Self> {
+        let now = Instant::now();
+        let datagrams = Datagrams::bind(settings)?;
+        let mesh = Mesh::new(datagrams.own());
+        let (tx, said) = mpsc::channel(STATEMENTS);
+        let (interval, max_age) = (settings.report_interval, settings.max_flow_age);
+        Ok(Self {
+            format,
+            packets: packets::bind(sockets.packets)?,
+            outbound: packets::bind(sockets.outbound)?,
+            port: sockets.packets.port(),
+            server: sockets.server,
+            datagrams,
+            fetcher: Fetcher::new(cx.clone(), settings.inner_port),
+            agent: Agent::new(now, mesh, interval, max_age, rand::random()),
+            to_keepers: BTreeMap::new(),
+            last_report: None,
+            report_from: now,
+            said,
+            handle: ServerHandle {
+                tx,
+                server: sockets.server,
+            },
+            journal,
+            metrics: ForwardMetrics::register(&cx.metrics),
+            ready: watch::Sender::new(false),
+            stop_at: None,
+        })
+    }
+
+    /// For what the server says.
+    pub fn handle(&self) -> ServerHandle {
+        self.handle.clone()
+    }
+
+    /// Whether the agent has a configuration.
+    pub fn ready(&self) -> watch::Receiver<bool> {
+        self.ready.subscribe()
+    }
+
+    /// Forwards until some time after `token` is cancelled. `seeds` are control hosts to begin with.
+    pub async fn run(
+        mut self,
+        mut seeds: watch::Receiver<Arc<[NodeAddress]>>,
+        token: CancellationToken,
+    ) -> io::Result<()> {
+        self.learn(&seeds.borrow_and_update().clone());
+        let mut tick_at = Instant::now();
+        loop {
+            tokio::select! {
+                biased;
+                () = sleep_until(tick_at.into()) => {
+                    tick_at = Instant::now() + TICK;
+                    if self.on_tick() {
+                        return Ok(());
+                    }
+                }
+                () = token.cancelled(), if self.stop_at.is_none() => self.stop(),
+                Some(said) = self.said.recv() => self.on_said(said),
+                readable = self.datagrams.readable() => {
+                    readable?;
+                    self.take_datagrams();
+                }
+                readable = self.outbound.readable() => {
+                    readable?;
+                    self.take_server_packets();
+                }
+                readable = self.packets.readable() => {
+                    readable?;
+                    self.take_caller_packets();
+                }
+                Some(fetched) = self.fetcher.next() => self.on_fetched(fetched),
+                Ok(()) = seeds.changed() => self.learn(&seeds.borrow_and_update().clone()),
+            }
+        }
+    }
+
+    fn learn(&mut self, seeds: &[NodeAddress]) {
+        let now = Instant::now();
+        for seed in seeds {
+            self.agent.mesh_mut().learn(now, *seed);
+        }
+    }
+
+    fn stop(&mut self) {
+        self.stop_at = Some(Instant::now() + LINGER);
+        self.agent.stop();
+        self.ready.send_replace(false);
+        self.journal.event(Event::new("stopping").with("no new flows"));
+    }
+
+    fn on_said(&mut self, said: Said) {
+        let now = Instant::now();
+        match said {
+            Said::Report(statement, reply) => {
+                let subject = format!("{} {}", statement.id, statement.state);
+                let outcome = self.agent.on_statement(now, statement);
+                if matches!(outcome, StatementOutcome::NewLife | StatementOutcome::Changed) {
+                    let event = Event::new("server reported").about(subject).with(outcome);
+                    self.journal.event(event);
+                }
+                // Whoever asked may have gone away meanwhile.
+                reply.send(outcome).ok();
+            }
+            Said::Leave(id, reply) => {
+                let left = self.agent.on_leave(now, &id);
+                let event = Event::new("server leaves").about(id);
+                self.journal.event(event.with(if left { "gone" } else { "not the current one" }));
+                reply.send(left).ok();
+            }
+            Said::PortClosed => {
+                if self.agent.on_port_closed() {
+                    let event = Event::new("server gone").about(self.server);
+                    self.journal.event(event.with("its port is closed"));
+                }
+            }
+        }
+        self.act();
+        self.tell_of_change(now);
+    }
+
+    /// True when it is time to end.
+    fn on_tick(&mut self) -> bool {
+        let now = Instant::now();
+        self.agent.on_tick(now);
+        self.act();
+        self.tell_of_change(now);
+        let report = self.agent.report(now);
+        let index = self.agent.map().index;
+        self.datagrams.greet(now, self.agent.mesh_mut(), index, report.as_ref());
+        self.tell_keepers(index.get());
+        let ready = self.agent.map().table.is_some() && self.stop_at.is_none();
+        self.ready.send_if_modified(|was| std::mem::replace(was, ready) != ready);
+        self.metrics.flows.set(i64::try_from(self.agent.flows()).unwrap_or(i64::MAX));
+        let decisions = self.agent.take_decisions();
+        self.metrics.on_decisions(&decisions);
+        self.journal.decisions(decisions);
+        self.journal.flush();
+        self.stop_at.is_some_and(|at| at <= now)
+    }
+
+    /// A server that opens or closes is told of at once, a changed load at a bounded pace.
+    fn tell_of_change(&mut self, now: Instant) {
+        let report = self.agent.report(now);
+        if report == self.last_report {
+            return;
+        }
+        let is_open = |r: &Option<ServerReport>| r.as_ref().is_some_and(|r| r.open);
+        let turned = is_open(&report) != is_open(&self.last_report);
+        if !turned && now < self.report_from {
+            return;
+        }
+        if turned {
+            let event = if is_open(&report) { "open" } else { "closed" };
+            let closed = self.agent.server().closed(now);
+            let why = closed.map_or_else(String::new, |c| c.to_string());
+            let event = Event::new(event).about(self.server).with(why);
+            self.journal.event(event.at(self.agent.map().index.get()));
+        }
+        self.last_report = report;
+        let nodes = u32::try_from(self.agent.mesh().nodes().count()).unwrap_or(u32::MAX);
+        self.report_from = now + LOAD_PACE.max(LOAD_PACE_PER_NODE.saturating_mul(nodes));
+        self.agent.mesh_mut().greet_soon(now, now);
+    }
+
+    fn tell_keepers(&mut self, index: u64) {
+        let to_keepers = std::mem::take(&mut self.to_keepers);
+        for (to, places) in to_keepers {
+            let greeting = self.greeting_to(to, index);
+            self.datagrams.tell_places(to, &greeting, &places);
+        }
+    }
+
+    fn greeting_to(&self, to: Ipv4Addr, index: u64) -> Greeting {
+        let now = Instant::now();
+        let heard = self.agent.mesh().heard_age(now, to);
+        self.datagrams.greeting(heard, index.into(), self.agent.report(now))
+    }
+
+    fn act(&mut self) {
+        for action in self.agent.take_actions() {
+            match action {
+                Action::Forward { to, trail, packet } => {
+                    let mut packet = packet.to_vec();
+                    self.format.set_trail(&mut packet, trail);
+                    packets::send(&self.packets, SocketAddrV4::new(to, self.port), &packet);
+                }
+                Action::Reset { flow, seq } => {
+                    let reset = self.format.reset(flow, seq);
+                    self.return_to(*flow.caller.ip(), &reset);
+                }
+                Action::TellBalancer { to, place } => {
+                    let greeting = self.greeting_to(to, self.agent.map().index.get());
+                    self.datagrams.tell_places(to, &greeting, &[place]);
+                }
+                Action::TellKeeper { to, place } => {
+                    self.to_keepers.entry(to).or_default().push(place);
+                }
+                Action::CheckPort => {
+                    let (server, tx) = (self.server, self.handle.tx.clone());
+                    tokio::spawn(async move {
+                        if is_port_closed(server).await {
+                            // The receiver is gone only when the process ends.
+                            drop(tx.send(Said::PortClosed).await);
+                        }
+                    });
+                }
+            }
+        }
+    }
+
+    fn return_to(&self, caller: Ipv4Addr, packet: &[u8]) {
+        packets::send(&self.packets, SocketAddrV4::new(caller, self.port), packet);
+    }
+
+    fn take_datagrams(&mut self) {
+        let mut buf = [0; packets::BUFFER_BYTES];
+        for _ in 0..packets::BATCH {
+            let Some((from, datagram)) = self.datagrams.take(&mut buf) else {
+                return;
+            };
+            let now = Instant::now();
+            let (role, theirs) = (datagram.greeting.role, datagram.greeting.index);
+            let mesh = self.agent.mesh_mut();
+            let news = mesh.on_greeting(now, from, datagram.greeting);
+            for node in datagram.nodes {
+                mesh.learn(now, node);
+            }
+            if news.is_new || news.restarted {
+                let event = if news.restarted { "node restarted" } else { "node heard" };
+                self.journal.event(Event::new(event).about(format!("{role} {from}")));
+            }
+            if role == NodeRole::Control {
+                self.fetcher.on_index(from, theirs, self.agent.map().index);
+            }
+            self.agent.on_places(now, from, datagram.places);
+        }
+    }
+
+    fn on_fetched(&mut self, fetched: Fetched) {
+        match fetched.result {
+            Ok(map) => {
+                let index = map.index.get();
+                if self.agent.on_map(Arc::new(map)) {
+                    self.metrics.config_index.set(index.cast_signed());
+                    let event = Event::new("configuration in force").about(fetched.from);
+                    self.journal.event(event.at(index));
+                }
+            }
+            Err(e) => {
+                let event = Event::new("configuration not fetched").about(fetched.from);
+                self.journal.event(event.with(e));
+            }
+        }
+        self.tell_of_change(Instant::now());
+    }
+
+    fn take_caller_packets(&mut self) {
+        let began_at = Instant::now();
+        let mut buf = [0; packets::BUFFER_BYTES];
+        for _ in 0..packets::BATCH {
+            let Some((from, packet)) = packets::take(&self.packets, &mut buf) else {
+                break;
+            };
+            self.metrics.packets.with_label_values(&["node"]).inc();
+            match self.format.read(packet) {
+                Ok(header) => {
+                    let fate = self.agent.on_caller_packet(Instant::now(), from, &header, packet);
+                    self.carry_out(fate, &header, packet);
+                }
+                Err(_) => self.metrics.bad_packets.inc(),
+            }
+        }
+        self.act();
+        self.metrics.on_turn(began_at.elapsed());
+    }
+
+    fn take_server_packets(&mut self) {
+        let began_at = Instant::now();
+        let mut buf = [0; packets::BUFFER_BYTES];
+        for _ in 0..packets::BATCH {
+            let Some((_, packet)) = packets::take(&self.outbound, &mut buf) else {
+                break;
+            };
+            self.metrics.packets.with_label_values(&["server"]).inc();
+            match self.format.read(packet) {
+                Ok(header) => {
+                    let fate = self.agent.on_server_packet(Instant::now(), &header);
+                    self.carry_out(fate, &header, packet);
+                }
+                Err(_) => self.metrics.bad_packets.inc(),
+            }
+        }
+        self.act();
+        self.metrics.on_turn(began_at.elapsed());
+    }
+
+    fn carry_out(&self, fate: Fate, header: &Header, packet: &mut [u8]) {
+        match fate {
+            Fate::Deliver => {
+                packets::send(&self.outbound, self.server, packet);
+            }
+            Fate::Return => self.return_to(*header.target.ip(), packet),
+            Fate::Forward { to, trail } => {
+                self.format.set_trail(packet, trail);
+                packets::send(&self.packets, SocketAddrV4::new(to, self.port), packet);
+            }
+            Fate::Drop => {}
+        }
+    }
+}
+
+/// Whether the host refuses connections to the server's port. A server that is only slow or frozen
+/// does not refuse.
+async fn is_port_closed(server: SocketAddrV4) -> bool {
+    let connected = timeout(PORT_CHECK_TIMEOUT, TcpStream::connect(SocketAddr::V4(server))).await;
+    matches!(connected, Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused)
+}
--- /dev/null
+++ b/src/forwarded/balancer.rs
@@ -0,0 +1,223 @@
+//! The balancer process: packets of callers in, packets to agents out.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use dogwoodrill_core::forwarded::balancer::{Balancer, Fate};
+use dogwoodrill_core::forwarded::mesh::{Mesh, NodeAddress};
+use dogwoodrill_core::forwarded::node::{BalancerSockets, NodeRole, NodeSettings};
+use dogwoodrill_core::forwarded::packet::Header;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::time::sleep_until;
+use tokio_util::sync::CancellationToken;
+
+use super::datagrams::Datagrams;
+use super::fetch::{Fetched, Fetcher};
+use super::journal::{Event, Journal};
+use super::metrics::ForwardMetrics;
+use super::{Format, packets};
+use crate::context::Cx;
+
+/// Time between two looks at greetings, caches and the log.
+const TICK: Duration = Duration::from_millis(50);
+/// Time to go on after the request to stop: the fabric takes out a balancer that fails two checks, a
+/// second apart at most, and callers' packets follow.
+const LINGER: Duration = Duration::from_millis(2500);
+/// Time after the start before the balancer says it is ready: agents have greeted it by then.
+const SETTLE: Duration = Duration::from_millis(700);
+
+/// A balancer whose sockets are bound.
+#[derive(Debug)]
+pub struct BalancerNode<F> {
+    format: F,
+    packets: UdpSocket,
+    port: u16,
+    datagrams: Datagrams,
+    fetcher: Fetcher,
+    balancer: Balancer,
+    journal: Journal,
+    metrics: ForwardMetrics,
+    ready: watch::Sender<bool>,
+    ready_from: Instant,
+    linger: Duration,
+    stop_at: Option<Instant>,
+}
+
+impl<F: Format> BalancerNode<F> {
+    /// Binds the sockets.
+    pub fn bind(
+        cx: &Cx,
+        settings: &NodeSettings,
+        sockets: BalancerSockets,
+        format: F,
+        journal: Journal,
+    ) -> std::io::Result<Self> {
+        let now = Instant::now();
+        let datagrams = Datagrams::bind(settings)?;
+        let mesh = Mesh::new(datagrams.own());
+        Ok(Self {
+            format,
+            packets: packets::bind(sockets.packets)?,
+            port: sockets.packets.port(),
+            datagrams,
+            fetcher: Fetcher::new(cx.clone(), settings.inner_port),
+            balancer: Balancer::new(now, mesh, settings.zone.clone(), rand::random()),
+            journal,
+            metrics: ForwardMetrics::register(&cx.metrics),
+            ready: watch::Sender::new(false),
+            ready_from: now + SETTLE,
+            linger: LINGER.min(settings.stop_grace / 2),
+            stop_at: None,
+        })
+    }
+
+    /// Whether the fabric may send packets here.
+    pub fn ready(&self) -> watch::Receiver<bool> {
+        self.ready.subscribe()
+    }
+
+    /// Forwards until some time after `token` is cancelled. `seeds` are control hosts to begin with.
+    pub async fn run(
+        mut self,
+        mut seeds: watch::Receiver<Arc<[NodeAddress]>>,
+        token: CancellationToken,
+    ) -> std::io::Result<()> {
+        self.learn(&seeds.borrow_and_update().clone());
+        let mut tick_at = Instant::now();
+        loop {
+            tokio::select! {
+                biased;
+                () = sleep_until(tick_at.into()) => {
+                    tick_at = Instant::now() + TICK;
+                    if self.on_tick() {
+                        return Ok(());
+                    }
+                }
+                () = token.cancelled(), if self.stop_at.is_none() => self.stop(),
+                readable = self.datagrams.readable() => {
+                    readable?;
+                    self.take_datagrams();
+                }
+                readable = self.packets.readable() => {
+                    readable?;
+                    self.take_packets();
+                }
+                Some(fetched) = self.fetcher.next() => self.on_fetched(fetched),
+                Ok(()) = seeds.changed() => self.learn(&seeds.borrow_and_update().clone()),
+            }
+        }
+    }
+
+    fn learn(&mut self, seeds: &[NodeAddress]) {
+        let now = Instant::now();
+        for seed in seeds {
+            self.balancer.mesh_mut().learn(now, *seed);
+        }
+    }
+
+    fn stop(&mut self) {
+        self.stop_at = Some(Instant::now() + self.linger);
+        self.ready.send_replace(false);
+        let event = Event::new("stopping").with("not ready, packets go on to be forwarded");
+        self.journal.event(event);
+    }
+
+    /// True when it is time to end.
+    fn on_tick(&mut self) -> bool {
+        let now = Instant::now();
+        self.balancer.on_tick(now);
+        let index = self.balancer.map().index;
+        self.datagrams.greet(now, self.balancer.mesh_mut(), index, None);
+        let ready = self.balancer.is_ready(now) && now >= self.ready_from && self.stop_at.is_none();
+        if self.ready.send_if_modified(|was| std::mem::replace(was, ready) != ready) {
+            let event = if ready { "ready" } else { "not ready" };
+            self.journal.event(Event::new(event).at(index.get()));
+        }
+        let flows = i64::try_from(self.balancer.cached()).unwrap_or(i64::MAX);
+        self.metrics.flows.set(flows);
+        self.record();
+        self.journal.flush();
+        self.stop_at.is_some_and(|at| at <= now)
+    }
+
+    fn record(&mut self) {
+        let decisions = self.balancer.take_decisions();
+        self.metrics.on_decisions(&decisions);
+        self.journal.decisions(decisions);
+    }
+
+    fn take_datagrams(&mut self) {
+        let mut buf = [0; packets::BUFFER_BYTES];
+        for _ in 0..packets::BATCH {
+            let Some((from, datagram)) = self.datagrams.take(&mut buf) else {
+                return;
+            };
+            let now = Instant::now();
+            let (role, theirs) = (datagram.greeting.role, datagram.greeting.index);
+            let mesh = self.balancer.mesh_mut();
+            let news = mesh.on_greeting(now, from, datagram.greeting);
+            for node in datagram.nodes {
+                mesh.learn(now, node);
+            }
+            if news.is_new || news.restarted {
+                let event = if news.restarted { "node restarted" } else { "node heard" };
+                self.journal.event(Event::new(event).about(format!("{role} {from}")));
+            }
+            if role == NodeRole::Control {
+                self.fetcher.on_index(from, theirs, self.balancer.map().index);
+            }
+            self.balancer.on_places(from, datagram.places);
+        }
+    }
+
+    fn on_fetched(&mut self, fetched: Fetched) {
+        match fetched.result {
+            Ok(map) => {
+                let index = map.index.get();
+                if self.balancer.on_map(Arc::new(map)) {
+                    self.metrics.config_index.set(index.cast_signed());
+                    let event = Event::new("configuration in force").about(fetched.from);
+                    self.journal.event(event.at(index));
+                }
+            }
+            Err(e) => {
+                let event = Event::new("configuration not fetched").about(fetched.from);
+                self.journal.event(event.with(e));
+            }
+        }
+    }
+
+    fn take_packets(&mut self) {
+        let began_at = Instant::now();
+        let mut buf = [0; packets::BUFFER_BYTES];
+        for _ in 0..packets::BATCH {
+            let Some((_, packet)) = packets::take(&self.packets, &mut buf) else {
+                break;
+            };
+            match self.format.read(packet) {
+                Ok(header) => on_packet(self, &header, packet),
+                Err(_) => self.metrics.bad_packets.inc(),
+            }
+        }
+        self.metrics.on_turn(began_at.elapsed());
+    }
+}
+
+fn on_packet<F: Format>(node: &mut BalancerNode<F>, header: &Header, packet: &mut [u8]) {
+    node.metrics.packets.with_label_values(&["caller"]).inc();
+    match node.balancer.on_packet(Instant::now(), header) {
+        Fate::Forward { to, trail } => {
+            node.format.set_trail(packet, trail);
+            packets::send(&node.packets, SocketAddrV4::new(to, node.port), packet);
+        }
+        Fate::Reset => {
+            let flow = header.caller_flow();
+            let reset = node.format.reset(flow, 0);
+            let caller = SocketAddrV4::new(*flow.caller.ip(), node.port);
+            packets::send(&node.packets, caller, &reset);
+        }
+        Fate::Drop => {}
+    }
+}
--- /dev/null
+++ b/src/forwarded/datagrams.rs
@@ -0,0 +1,126 @@
+//! The socket over which nodes tell each other what they know.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::{Duration, Instant};
+
+use dogwoodrill_core::forwarded::keepers::FlowPlace;
+use dogwoodrill_core::forwarded::mesh::{Boot, Greeting, Mesh, NodeAddress, ServerReport};
+use dogwoodrill_core::forwarded::node::NodeSettings;
+use dogwoodrill_core::ids::LogIndex;
+use dogwoodrill_wire::convert::forwarded::Datagram;
+use dogwoodrill_wire::proto::forwarded as wire;
+use prost::Message;
+use tokio::net::UdpSocket;
+
+use super::packets;
+
+/// Flows in one datagram, which then stays below 1,200 bytes.
+pub const PLACES_PER_DATAGRAM: usize = 40;
+
+/// The socket, and who speaks through it.
+#[derive(Debug)]
+pub struct Datagrams {
+    socket: UdpSocket,
+    port: u16,
+    boot: Boot,
+    own: NodeAddress,
+    /// Datagrams that could not be read.
+    pub unreadable: u64,
+}
+
+impl Datagrams {
+    /// Binds the socket of a node in a new life.
+    pub fn bind(settings: &NodeSettings) -> std::io::Result<Self> {
+        let address = SocketAddrV4::new(settings.ip, settings.inner_port);
+        Ok(Self {
+            socket: packets::bind(address)?,
+            port: settings.inner_port,
+            boot: Boot::new(rand::random_range(1..=u64::MAX)),
+            own: NodeAddress {
+                ip: settings.ip,
+                role: settings.role.role(),
+            },
+            unreadable: 0,
+        })
+    }
+
+    /// The node itself.
+    pub const fn own(&self) -> NodeAddress {
+        self.own
+    }
+
+    /// Waits until something may have come.
+    pub async fn readable(&self) -> std::io::Result<()> {
+        self.socket.readable().await
+    }
+
+    /// Takes one datagram that has come; none if there is no more.
+    pub fn take(&mut self, buf: &mut [u8]) -> Option<(Ipv4Addr, Datagram)> {
+        loop {
+            let (from, bytes) = packets::take(&self.socket, buf)?;
+            let read = wire::Datagram::decode(&*bytes).ok();
+            match read.and_then(|d| Datagram::try_from(d).ok()) {
+                Some(datagram) => return Some((from, datagram)),
+                None => self.unreadable += 1,
+            }
+        }
+    }
+
+    /// Sends to a node; what does not arrive is said again by the next greeting.
+    pub fn send(&self, to: Ipv4Addr, datagram: &Datagram) -> bool {
+        let bytes = wire::Datagram::from(datagram).encode_to_vec();
+        packets::send(&self.socket, SocketAddrV4::new(to, self.port), &bytes)
+    }
+
+    /// What the node says of itself with every message to `to`.
+    pub fn greeting(
+        &self,
+        heard: Option<Duration>,
+        index: LogIndex,
+        report: Option<ServerReport>,
+    ) -> Greeting {
+        Greeting {
+            boot: self.boot,
+            role: self.own.role,
+            index,
+            heard,
+            report,
+        }
+    }
+
+    /// Greets the nodes that are due.
+    pub fn greet(
+        &self,
+        now: Instant,
+        mesh: &mut Mesh,
+        index: LogIndex,
+        report: Option<&ServerReport>,
+    ) {
+        for node in mesh.due(now) {
+            let heard = mesh.heard_age(now, node.ip);
+            let datagram = Datagram {
+                greeting: self.greeting(heard, index, report.cloned()),
+                places: Vec::new(),
+                nodes: Vec::new(),
+            };
+            self.send(node.ip, &datagram);
+        }
+    }
+
+    /// Tells a node which flows are here.
+    pub fn tell_places(
+        &self,
+        to: Ipv4Addr,
+        greeting: &Greeting,
+        places: &[FlowPlace],
+    ) {
+        for places in places.chunks(PLACES_PER_DATAGRAM) {
+            let datagram = Datagram {
+                greeting: greeting.clone(),
+                places: places.to_vec(),
+                nodes: Vec::new(),
+            };
+            self.send(to, &datagram);
+        }
+    }
+}
--- /dev/null
+++ b/src/forwarded/metrics.rs
@@ -0,0 +1,97 @@
+//! Counters of the processes that forward flows.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use dogwoodrill_core::forwarded::decision::Decision;
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
+
+/// Upper bounds of the buckets for the time that a packet waits in this process, in seconds.
+const TURN_BUCKETS: [f64; 7] = [0.000_1, 0.000_5, 0.001, 0.005, 0.02, 0.1, 0.5];
+
+/// What a balancer or an agent counts.
+#[derive(Clone, Debug)]
+pub struct ForwardMetrics {
+    /// Packets taken in, by the side that they came from.
+    pub packets: IntCounterVec,
+    /// Packets that were none.
+    pub bad_packets: IntCounter,
+    /// Flows that are remembered.
+    pub flows: IntGauge,
+    /// Index of the configuration in force.
+    pub config_index: IntGauge,
+    decisions: IntCounterVec,
+    turn_seconds: Histogram,
+}
+
+impl ForwardMetrics {
+    /// Registers the counters.
+    pub fn register(registry: &Registry) -> Self {
+        let packets = Opts::new("dogwoodrill_forwarded_packets_total", "Packets taken in.");
+        let decisions = Opts::new(
+            "dogwoodrill_forwarded_decisions_total",
+            "Decisions about packets, by what was done and why.",
+        );
+        let turn = HistogramOpts::new(
+            "dogwoodrill_forwarded_turn_seconds",
+            "Time to take in what had come, which packets behind it waited.",
+        );
+        let turn = turn.buckets(TURN_BUCKETS.to_vec());
+        let metrics = Self {
+            packets: IntCounterVec::new(packets, &["from"]).expect("constant names are valid"),
+            bad_packets: IntCounter::new(
+                "dogwoodrill_forwarded_bad_packets_total",
+                "Datagrams that are no packets.",
+            )
+            .expect("a constant name is valid"),
+            flows: IntGauge::new("dogwoodrill_forwarded_flows", "Flows that are remembered.")
+                .expect("a constant name is valid"),
+            config_index: IntGauge::new(
+                "dogwoodrill_forwarded_config_index",
+                "Index of the configuration in force.",
+            )
+            .expect("a constant name is valid"),
+            decisions: IntCounterVec::new(decisions, &["step", "why"])
+                .expect("constant names are valid"),
+            turn_seconds: Histogram::with_opts(turn).expect("a constant name is valid"),
+        };
+        metrics.enter(registry);
+        metrics
+    }
+
+    /// A second node in one process stays unseen.
+    fn enter(&self, registry: &Registry) {
+        let all: [Box<dyn prometheus::core::Collector>; 6] = [
+            Box::new(self.packets.clone()),
+            Box::new(self.bad_packets.clone()),
+            Box::new(self.flows.clone()),
+            Box::new(self.config_index.clone()),
+            Box::new(self.decisions.clone()),
+            Box::new(self.turn_seconds.clone()),
+        ];
+        for collector in all {
+            drop(registry.register(collector));
+        }
+    }
+
+    /// Counts decisions.
+    pub fn on_decisions(&self, decisions: &[Decision]) {
+        let mut counts = BTreeMap::new();
+        for d in decisions {
+            *counts.entry((d.step, d.reason)).or_insert(0) += 1;
+        }
+        for ((step, reason), count) in counts {
+            let why = reason.map_or_else(String::new, |r| r.to_string());
+            let labels = [step.to_string(), why];
+            let counter = self.decisions.with_label_values(&labels);
+            counter.inc_by(count);
+        }
+    }
+
+    /// A turn took that long.
+    pub fn on_turn(&self, took: Duration) {
+        self.turn_seconds.observe(took.as_secs_f64());
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod context;
 pub mod control;
 pub mod credentials;
+pub mod forwarded;
 pub mod logs;
 pub mod monitor;
 pub mod operator;
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use log::LevelFilter;
-use logforth::append::Stderr;
+use logforth::append::{Stderr, Stdout};
 use logforth::filter::rustlog::RustLogFilterBuilder;
 use logforth::layout::{JsonLayout, TextLayout};
 use logforth::record::{Level, LevelFilter as Filter, Record};
@@ -17,9 +17,24 @@
 
 use crate::settings::logs::{LogFormat, LogSettings};
 
+/// Lines that one place in the code writes in a minute to standard output.
+const STDOUT_REPEATS_PER_MINUTE: u32 = 60;
 /// Time after which the count of repeats starts anew.
 const REPEAT_WINDOW: Duration = Duration::from_mins(1);
 
+/// Starts the log of a process whose output is read as JSON lines from standard output.
+pub fn install_for_stdout() {
+    let append = RepeatLimited {
+        inner: Stdout::default().with_layout(JsonLayout::default()),
+        limit: Mutex::new(RepeatLimit::new(STDOUT_REPEATS_PER_MINUTE)),
+    };
+    let filter = RustLogFilterBuilder::default().filter_level(to_filter(LevelFilter::Info));
+    let builder = logforth::starter_log::builder();
+    let builder = builder.dispatch(|d| d.filter(filter.build()).append(append));
+    // An error says that there is a log already, which then stays.
+    drop(builder.try_apply());
+}
+
 /// Starts the log of this process. Only the first call has an effect, so that tests and embedders
 /// may have a log of their own.
 pub fn install(settings: &LogSettings) {
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -16,6 +16,7 @@
 mod daemons;
 mod exit;
 pub mod load;
+mod node;
 mod outcome;
 pub mod page;
 mod profile;
@@ -34,6 +35,7 @@
     EXIT_CUT, EXIT_FAILED, EXIT_LOST_RACE, EXIT_NOT_CONFIRMED, EXIT_UNSURE, EXIT_USAGE, exit_code,
 };
 pub use load::{LoadError, LoadOptions, LoadResult, RequestClass, load};
+pub use node::{NodeError, NodeOptions, run_node};
 pub use outcome::{Outcome, one_line};
 pub use profile::{
     AppliedProfile, ProfileApplyOptions, ProfileDiff, ProfileList, StandingProfile, profile_apply,
@@ -48,6 +50,12 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum OpsError {
+    /// A process of the platform stopped.
+    #[snafu(transparent)]
+    Node {
+        /// Why.
+        source: NodeError,
+    },
     /// The certificates were not made.
     #[snafu(transparent)]
     Certs {
--- /dev/null
+++ b/src/ops/node.rs
@@ -0,0 +1,276 @@
+//! `dogwoodrill node`: a process of the users' platform.
+//!
+//! The platform's settings file says which role the process has. Its calls are read by
+//! `dogwoodrill-platform` and handed to the drivers of [`crate::forwarded`].
+
+use std::error::Error;
+use std::net::SocketAddrV4;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use dogwoodrill_core::flow::ClusterKey;
+use dogwoodrill_core::forwarded::mesh::NodeAddress;
+use dogwoodrill_core::forwarded::node::{NodeRole, NodeSettings, RoleSettings};
+use dogwoodrill_core::forwarded::service_map::RouteTable;
+use dogwoodrill_platform::packet::PlatformPackets;
+use dogwoodrill_platform::settings::{self, SETTINGS_VARIABLE, SettingsError};
+use dogwoodrill_platform::document;
+use snafu::{OptionExt, ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use crate::cluster::Cluster;
+use crate::context::Cx;
+use crate::forwarded::agent::AgentNode;
+use crate::forwarded::balancer::BalancerNode;
+use crate::forwarded::control::{ControlNode, ControlNodeError, node_of};
+use crate::forwarded::journal::{Event, Journal};
+use crate::logs;
+use crate::monitor::{Health, Monitor, MonitorError};
+
+mod http;
+mod operators;
+mod servers;
+
+use http::Server;
+
+/// Time between two looks at the settings file; it may change without a signal.
+const SETTINGS_PAUSE: Duration = Duration::from_secs(1);
+/// Looks at the file after which the seeds are told again, so that nobody forgets them.
+const SEEDS_AGAIN: u32 = 5;
+/// TCP port of the metrics on every host; `deploy/system.toml` names it.
+const METRICS_PORT: u16 = 9464;
+
+/// What the process is started with.
+#[derive(Clone, Debug)]
+pub struct NodeOptions {
+    /// The settings file; none to take the one that the platform names in the environment.
+    pub settings: Option<PathBuf>,
+}
+
+/// Why the process ended.
+#[derive(Debug, Snafu)]
+pub enum NodeError {
+    /// Nobody said where the settings are.
+    #[snafu(display("no settings: give --settings FILE, or set {SETTINGS_VARIABLE}"))]
+    NoSettings,
+    /// The settings were refused.
+    #[snafu(transparent)]
+    Settings {
+        /// Why.
+        source: SettingsError,
+    },
+    /// A socket could not be bound.
+    #[snafu(display("cannot bind the sockets of the {role}; check that the ports are free"))]
+    Bind {
+        /// The role.
+        role: NodeRole,
+        /// What the host said.
+        source: std::io::Error,
+    },
+    /// A socket failed.
+    #[snafu(display("a socket of the {role} failed"))]
+    Socket {
+        /// The role.
+        role: NodeRole,
+        /// What the host said.
+        source: std::io::Error,
+    },
+    /// The metrics could not be served.
+    #[snafu(transparent)]
+    Metrics {
+        /// Why.
+        source: MonitorError,
+    },
+    /// The control host stopped.
+    #[snafu(transparent)]
+    Control {
+        /// Why.
+        source: ControlNodeError,
+    },
+    /// Signals cannot be received.
+    #[snafu(display("cannot receive signals"))]
+    NodeSignals {
+        /// What the host said.
+        source: std::io::Error,
+    },
+}
+
+/// Runs a process of the platform until it is told to stop.
+pub async fn run_node(options: NodeOptions) -> Result<(), NodeError> {
+    let named = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
+    let path = options.settings.or(named).context(NoSettingsSnafu)?;
+    let settings = settings::read(&path)?;
+    let role = settings.role.role();
+    logs::install_for_stdout();
+    let mut journal = Journal::start(&settings.name);
+    let start = Event::new("start").about(role).with(format!(
+        "version {}, zone {}, channels between processes without TLS on a private network",
+        env!("CARGO_PKG_VERSION"),
+        settings.zone
+    ));
+    journal.event(start);
+    journal.flush();
+    let node = NodeProcess::new(path, settings)?;
+    let ended = node.run(journal).await;
+    match &ended {
+        Ok(()) => log::info!("{role} stopped"),
+        Err(e) => log::error!("{role} stopped: {e}"),
+    }
+    ended
+}
+
+struct NodeProcess {
+    settings: NodeSettings,
+    cx: Cx,
+    seeds: watch::Receiver<Arc<[NodeAddress]>>,
+    stop: CancellationToken,
+}
+
+impl NodeProcess {
+    fn new(path: PathBuf, settings: NodeSettings) -> Result<Self, NodeError> {
+        let key = ClusterKey::new([0; 16]);
+        let cx = Cx::new(node_of(settings.ip), settings.zone.clone(), key);
+        let (tx, seeds) = watch::channel(seeds_of(&settings));
+        let reload = signal(SignalKind::hangup()).context(NodeSignalsSnafu)?;
+        tokio::spawn(watch_settings(path, tx, reload));
+        let stop = stop_on_signal()?;
+        Ok(Self {
+            settings,
+            cx,
+            seeds,
+            stop,
+        })
+    }
+
+    async fn run(self, journal: Journal) -> Result<(), NodeError> {
+        let role = self.settings.role.role();
+        let ended = match &self.settings.role {
+            RoleSettings::Balancer(sockets) => {
+                let sockets = *sockets;
+                let (cx, settings) = (&self.cx, &self.settings);
+                let node = BalancerNode::bind(cx, settings, sockets, PlatformPackets, journal);
+                let node = node.context(BindSnafu { role })?;
+                self.serve_ready(sockets.ready, node.ready()).await?;
+                self.monitor(Arc::default()).await?;
+                node.run(self.seeds, self.stop).await
+            }
+            RoleSettings::Agent(sockets) => {
+                let (cx, settings) = (&self.cx, &self.settings);
+                let node = AgentNode::bind(cx, settings, sockets, PlatformPackets, journal);
+                let node = node.context(BindSnafu { role })?;
+                if let Some(ready) = sockets.ready {
+                    self.serve_ready(ready, node.ready()).await?;
+                }
+                let calls = servers::Calls::new(node.handle(), sockets.service.clone());
+                self.serve(sockets.reports, Server::new(calls)).await?;
+                self.monitor(Arc::default()).await?;
+                node.run(self.seeds, self.stop).await
+            }
+            RoleSettings::Control(places) => {
+                let (cx, settings) = (&self.cx, &self.settings);
+                let node = ControlNode::bind(cx, settings, places, read_document, journal).await?;
+                let port = places.operators.port();
+                let calls = operators::Calls::new(node.handle(), node.cluster(), port);
+                self.serve(places.operators, Server::new(calls)).await?;
+                self.monitor(node.cluster()).await?;
+                return Ok(node.run(self.seeds, self.stop).await?);
+            }
+        };
+        ended.context(SocketSnafu { role })
+    }
+
+    async fn serve_ready(
+        &self,
+        address: SocketAddrV4,
+        ready: watch::Receiver<bool>,
+    ) -> Result<(), NodeError> {
+        self.serve(address, Server::new(http::Ready::new(ready))).await
+    }
+
+    async fn serve<C: http::Answer>(
+        &self,
+        address: SocketAddrV4,
+        server: Server<C>,
+    ) -> Result<(), NodeError> {
+        let role = self.settings.role.role();
+        let listener = TcpListener::bind(address).await;
+        let listener = listener.context(BindSnafu { role })?;
+        tokio::spawn(server.run(listener));
+        Ok(())
+    }
+
+    async fn monitor(&self, cluster: Arc<Cluster>) -> Result<(), NodeError> {
+        let address = SocketAddrV4::new(self.settings.ip, METRICS_PORT);
+        let health = Health::Node(cluster, self.stop.clone());
+        let monitor = Monitor::bind(&self.cx, address.into(), health).await?;
+        tokio::spawn(Arc::new(monitor).run());
+        Ok(())
+    }
+}
+
+fn read_document(body: &[u8]) -> Result<RouteTable, Box<dyn Error + Send + Sync>> {
+    Ok(document::read(body)?)
+}
+
+fn seeds_of(settings: &NodeSettings) -> Arc<[NodeAddress]> {
+    let role = NodeRole::Control;
+    let seeds = settings.seeds.iter();
+    seeds.map(|ip| NodeAddress { ip: *ip, role }).collect()
+}
+
+/// Reads the settings again when they change. What cannot be read changes nothing: the process goes on
+/// with the settings that it has.
+async fn watch_settings(
+    path: PathBuf,
+    seeds: watch::Sender<Arc<[NodeAddress]>>,
+    mut reload: Signal,
+) {
+    let mut known = text_of(&path);
+    let mut looks = 0;
+    loop {
+        tokio::select! {
+            _ = reload.recv() => log::info!("asked to read the settings again"),
+            () = sleep(SETTINGS_PAUSE) => {}
+        }
+        looks += 1;
+        let text = text_of(&path);
+        if text == known && looks % SEEDS_AGAIN != 0 {
+            continue;
+        }
+        let Some(text) = text else {
+            log::warn!("cannot read {}; the settings stay as they are", path.display());
+            continue;
+        };
+        match settings::parse(&path, &text) {
+            Ok(settings) => {
+                if known.as_ref() != Some(&text) {
+                    log::info!("settings read again, seeds {:?}", settings.seeds);
+                }
+                seeds.send_replace(seeds_of(&settings));
+            }
+            Err(e) => log::warn!("the settings stay as they are: {e}"),
+        }
+        known = Some(text);
+    }
+}
+
+fn text_of(path: &Path) -> Option<String> {
+    std::fs::read_to_string(path).ok()
+}
+
+fn stop_on_signal() -> Result<CancellationToken, NodeError> {
+    let stop = CancellationToken::new();
+    let mut term = signal(SignalKind::terminate()).context(NodeSignalsSnafu)?;
+    let token = stop.clone();
+    tokio::spawn(async move {
+        term.recv().await;
+        log::info!("asked to stop");
+        token.cancel();
+    });
+    Ok(stop)
+}
