Stop redirections of opening packets from forming a ring

Ruled out: slow servers (645 flows accepted in 12 s, none slow), stale configuration (index 13 all over). Change: a redirection is not followed back to the node that the packet came from, nor beyond the hop bound. A restarted agent leaves packets of flows that it has not seen to its server, which hands back what it does not hold. Control hosts that start at once elect within 100 to 200 ms; a balancer is ready as soon as all listed agents were heard.

--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -59,6 +59,8 @@
     synced: LogIndex,
     role: Role,
     leader: Option<MemberId>,
+    /// Whether a leader was known since the member started.
+    has_known_leader: bool,
     /// When to campaign.
     election_at: Instant,
     /// Until when a leader that was heard is taken to be there, so that votes are refused.
@@ -88,6 +90,7 @@
             log,
             role: Role::Follower,
             leader: None,
+            has_known_leader: false,
             election_at: now,
             leader_until: None,
             pending: Pending::default(),
@@ -344,7 +347,11 @@
     }
 
     fn reset_election(&mut self, now: Instant) {
-        let shortest = self.options.election_timeout;
+        let shortest = if self.has_known_leader {
+            self.options.election_timeout
+        } else {
+            self.options.first_election_timeout
+        };
         let spread = self.rng.random_range(0..=shortest.as_micros());
         let spread = u64::try_from(spread).unwrap_or(u64::MAX);
         self.election_at = now + shortest + Duration::from_micros(spread);
@@ -358,6 +365,7 @@
             self.pending.reads.extend(outcomes);
         }
         self.leader = leader;
+        self.has_known_leader |= leader.is_some();
         self.reset_election(now);
     }
 }
--- a/crates/consensus/src/node/leader.rs
+++ b/crates/consensus/src/node/leader.rs
@@ -137,6 +137,7 @@
             reads: VecDeque::new(),
         }));
         self.leader = Some(self.id);
+        self.has_known_leader = true;
         self.track_members(next);
         self.add_entry(Payload::Noop);
         self.start_round(now);
--- a/crates/consensus/src/options.rs
+++ b/crates/consensus/src/options.rs
@@ -8,6 +8,10 @@
     /// Time without a leader after which a member campaigns; it waits up to twice as long, at random.
     /// A leader that has had no contact with a majority for this time steps down.
     pub election_timeout: Duration,
+    /// The same until the member has first known a leader since it started. Hosts that all start at
+    /// once need not wait for a leader that cannot be there; one that starts alone is told by the
+    /// others in the pre-vote that there is one.
+    pub first_election_timeout: Duration,
     /// Time between heartbeats of a leader.
     pub heartbeat_interval: Duration,
     /// Entries that one message may carry.
@@ -20,6 +24,7 @@
     fn default() -> Self {
         Self {
             election_timeout: Duration::from_secs(1),
+            first_election_timeout: Duration::from_secs(1),
             heartbeat_interval: Duration::from_millis(150),
             max_entries: 512,
             tail: 1024,
--- a/crates/consensus/tests/testsuite/support.rs
+++ b/crates/consensus/tests/testsuite/support.rs
@@ -10,6 +10,7 @@
 pub fn options() -> Options {
     Options {
         election_timeout: ELECTION_TIMEOUT,
+        first_election_timeout: ELECTION_TIMEOUT,
         heartbeat_interval: Duration::from_millis(20),
         max_entries: 8,
         tail: 8,
--- a/crates/core/src/forwarded/agent.rs
+++ b/crates/core/src/forwarded/agent.rs
@@ -357,13 +357,22 @@
 
     fn on_opening(&mut self, now: Instant, from: Ipv4Addr, header: &Header, packet: &[u8]) -> Fate {
         let key = header.caller_flow();
-        if let Some(to) = self.redirect(now, key) {
-            return self.forward_opening(to, header.trail);
+        // A peer that hands the packet back has judged it since; two redirections must not form a ring.
+        if let Some(to) = self.redirect(now, key).filter(|to| *to != from) {
+            return if header.trail.hops < MAX_HOPS {
+                self.forward_opening(to, header.trail)
+            } else {
+                Fate::Drop
+            };
         }
         if let Some(flow) = self.flows.get_mut(&key) {
             // The answer may have been lost; the server gives it again.
             flow.forget_at = flow.forget_at.max(now + OPENING_TTL);
-            return if flow.is_open { Fate::Drop } else { Fate::Deliver };
+            return if flow.is_open {
+                Fate::Drop
+            } else {
+                Fate::Deliver
+            };
         }
         let barred = gate::barred(now, &self.map, &self.server, key);
         let barred = match barred {
@@ -490,9 +499,8 @@
         let candidates = open.map(|(agent, heard)| Candidate { agent, heard });
         let chosen = match &zone {
             Some(zone) => placement::choose(&mut self.rng, candidates, zone)?,
-            None => candidates.min_by(|a, b| {
-                placement::load(a.heard).total_cmp(&placement::load(b.heard))
-            })?,
+            None => candidates
+                .min_by(|a, b| placement::load(a.heard).total_cmp(&placement::load(b.heard)))?,
         };
         Some(chosen.agent)
     }
@@ -579,8 +587,9 @@
         let own = self.mesh.own().ip;
         let holder = self.directory.find(key, header.ack);
         match trail.purpose {
-            Purpose::Search => Fate::Drop,
-            Purpose::Kept => self.adopt(now, header),
+            // All servers of the service get it, among them its own.
+            Purpose::Search if !self.may_hold_unknown(now) => Fate::Drop,
+            Purpose::Search | Purpose::Kept => self.adopt(now, header),
             Purpose::Placed | Purpose::FirstKeeper | Purpose::SecondKeeper
                 if holder == Some(own) =>
             {
@@ -599,7 +608,7 @@
         let Keepers { first, second } = self.mesh.ring().keepers(key);
         let first = first.filter(|ip| *ip != own);
         let second = second.filter(|ip| *ip != own);
-        if purpose == Purpose::Placed && self.is_fresh(now) && !self.flows.contains_key(&key) {
+        if purpose == Purpose::Placed && self.may_hold_unknown(now) {
             return self.adopt(now, header);
         }
         match purpose {
@@ -635,7 +644,8 @@
         let route = self.map.route(key.service);
         let serves = |service: &ServiceLabel| route.is_some_and(|r| r.allows(service));
         let live = self.mesh.live(now, super::node::NodeRole::Agent);
-        let live = live.filter(|(_, k)| k.report.as_ref().is_some_and(|h| serves(&h.report.service)));
+        let live =
+            live.filter(|(_, k)| k.report.as_ref().is_some_and(|h| serves(&h.report.service)));
         let trail = Trail {
             hops: header.trail.hops + 1,
             purpose: Purpose::Search,
@@ -656,15 +666,15 @@
     }
 
     /// Whether flows may be open at the server that the agent, which started later, does not know.
-    fn is_fresh(&self, now: Instant) -> bool {
-        now < self.started_at + self.max_flow_age
+    fn may_hold_unknown(&self, now: Instant) -> bool {
+        self.server.is_older() && now < self.started_at + self.max_flow_age
     }
 
     /// A flow that others say is here. An agent that started lately leaves it to the server, which
     /// hands back what it does not hold.
     fn adopt(&mut self, now: Instant, header: &Header) -> Fate {
         let key = header.caller_flow();
-        if !self.is_fresh(now) || self.server.statement().is_none() {
+        if !self.may_hold_unknown(now) {
             self.decide(Decision {
                 hops: header.trail.hops,
                 ..Decision::new(Step::UnknownFlow, key, self.map.index)
@@ -815,7 +825,8 @@
         places: impl IntoIterator<Item = FlowPlace>,
     ) {
         for place in places {
-            self.directory.on_place(now, agent, place, self.max_flow_age);
+            self.directory
+                .on_place(now, agent, place, self.max_flow_age);
         }
     }
 
--- a/crates/core/src/forwarded/balancer.rs
+++ b/crates/core/src/forwarded/balancer.rs
@@ -113,6 +113,13 @@
         self.young.len() + self.old.len()
     }
 
+    /// Whether all agents that are listed have been heard.
+    pub fn has_heard_all(&self) -> bool {
+        let agents = self.mesh.nodes().filter(|(_, k)| k.role == NodeRole::Agent);
+        let mut agents = agents.peekable();
+        agents.peek().is_some() && agents.all(|(_, k)| k.heard_at().is_some())
+    }
+
     /// Whether the balancer can serve: it has a configuration and knows agents.
     pub fn is_ready(&self, now: Instant) -> bool {
         let knows_agents = self.mesh.live(now, NodeRole::Agent).next().is_some();
@@ -155,7 +162,8 @@
         let draw = self.rng.random();
         let service = self.map.route(key.service).and_then(|r| r.pick(draw));
         let Some(service) = service.cloned() else {
-            self.decisions.push(Decision::new(Step::NoRoute, key, index));
+            self.decisions
+                .push(Decision::new(Step::NoRoute, key, index));
             // Before the first configuration nothing is known to have no route.
             return if self.map.table.is_some() {
                 Fate::Reset
@@ -165,9 +173,8 @@
         };
         let map = &self.map;
         let open = self.mesh.open_agents(now, &service);
-        let open = open.filter(|(ip, heard)| {
-            Some(*ip) != before && map.is_zone_in(&heard.report.zone)
-        });
+        let open =
+            open.filter(|(ip, heard)| Some(*ip) != before && map.is_zone_in(&heard.report.zone));
         let candidates = open.map(|(agent, heard)| Candidate { agent, heard });
         let chosen = placement::choose(&mut self.rng, candidates, &self.zone);
         let decision = Decision {
@@ -185,7 +192,11 @@
             return self.refuse(now);
         };
         let again = before.is_some();
-        let step = if again { Step::PlacedAgain } else { Step::Placed };
+        let step = if again {
+            Step::PlacedAgain
+        } else {
+            Step::Placed
+        };
         self.decisions.push(Decision { step, ..decision });
         self.mesh.on_placed(to);
         self.young.insert(key, Place::At(to));
@@ -203,7 +214,8 @@
 
     fn ask(&mut self, key: FlowKey, times: u8) -> Fate {
         let keepers = self.mesh.ring().keepers(key);
-        self.young.insert(key, Place::Asked(times.saturating_add(1)));
+        self.young
+            .insert(key, Place::Asked(times.saturating_add(1)));
         // A packet that is sent again was perhaps lost with the first keeper.
         let (to, purpose) = if times.is_multiple_of(2) {
             (keepers.first.or(keepers.second), Purpose::FirstKeeper)
--- a/crates/core/src/forwarded/gate.rs
+++ b/crates/core/src/forwarded/gate.rs
@@ -78,7 +78,11 @@
 impl ColdBudget {
     /// Takes one opening packet out of the budget; false if there is none left.
     pub fn take(&mut self, now: Instant, rate: RequestRate) -> bool {
-        while self.taken.front().is_some_and(|at| now >= *at + COLD_WINDOW) {
+        while self
+            .taken
+            .front()
+            .is_some_and(|at| now >= *at + COLD_WINDOW)
+        {
             self.taken.pop_front();
         }
         // A server that bears less than one request a second still gets one at a time.
--- a/crates/core/src/forwarded/keepers.rs
+++ b/crates/core/src/forwarded/keepers.rs
@@ -50,7 +50,9 @@
             return false;
         }
         self.agents = agents.to_vec();
-        let points = agents.iter().flat_map(|(ip, _)| (0..POINTS).map(|n| (point(*ip, n), *ip)));
+        let points = agents
+            .iter()
+            .flat_map(|(ip, _)| (0..POINTS).map(|n| (point(*ip, n), *ip)));
         self.points = points.collect();
         self.points.sort_unstable();
         true
@@ -58,7 +60,9 @@
 
     /// The keepers of a flow.
     pub fn keepers(&self, flow: FlowKey) -> Keepers {
-        let at = self.points.partition_point(|(hash, _)| *hash < flow_hash(flow));
+        let at = self
+            .points
+            .partition_point(|(hash, _)| *hash < flow_hash(flow));
         let around = self.points[at..].iter().chain(&self.points[..at]);
         let mut ips = around.map(|(_, ip)| *ip);
         let first = ips.next();
@@ -128,7 +132,9 @@
     /// caller acknowledges.
     pub fn find(&self, flow: FlowKey, ack: u32) -> Option<Ipv4Addr> {
         let holders = self.flows.get(&flow)?;
-        let nearest = holders.iter().min_by_key(|h| ack.wrapping_sub(h.server_seq));
+        let nearest = holders
+            .iter()
+            .min_by_key(|h| ack.wrapping_sub(h.server_seq));
         nearest.map(|h| h.agent)
     }
 
--- a/crates/core/src/forwarded/mesh.rs
+++ b/crates/core/src/forwarded/mesh.rs
@@ -261,14 +261,19 @@
     pub fn on_tick(&mut self, now: Instant) {
         self.lost_after = self.greeting_interval() * MISSED_GREETINGS + GREETING_INTERVAL;
         self.nodes.retain(|_, known| {
-            let last = known.heard_at.map_or(known.listed_at, |at| at.max(known.listed_at));
+            let last = known
+                .heard_at
+                .map_or(known.listed_at, |at| at.max(known.listed_at));
             now < last + FORGET_AFTER
         });
         self.renew_ring(now);
     }
 
     fn renew_ring(&mut self, now: Instant) {
-        let mut agents: Vec<_> = self.live(now, NodeRole::Agent).map(|(ip, k)| (ip, k.boot)).collect();
+        let mut agents: Vec<_> = self
+            .live(now, NodeRole::Agent)
+            .map(|(ip, k)| (ip, k.boot))
+            .collect();
         if self.own.role == NodeRole::Agent {
             agents.push((self.own.ip, Boot::default()));
         }
@@ -315,8 +320,12 @@
     /// Whether packets get through to a node, as far as it said. One that was just heard for the
     /// first time has had no occasion to say so.
     fn is_reached(&self, now: Instant, known: &Known) -> bool {
-        let fresh = known.first_heard_at.is_some_and(|at| now < at + FIRST_CONTACT);
-        let reached = known.heard_us_at.is_some_and(|at| now < at + self.lost_after);
+        let fresh = known
+            .first_heard_at
+            .is_some_and(|at| now < at + FIRST_CONTACT);
+        let reached = known
+            .heard_us_at
+            .is_some_and(|at| now < at + self.lost_after);
         reached || (fresh && known.heard_us_at.is_none())
     }
 
--- a/crates/core/src/forwarded/placement.rs
+++ b/crates/core/src/forwarded/placement.rs
@@ -51,5 +51,7 @@
     zone: &AvailabilityZone,
 ) -> Option<Candidate<'a>> {
     let drawn = candidates.choose_multiple(rng, 2);
-    drawn.into_iter().min_by(|a, b| cost(a, zone).total_cmp(&cost(b, zone)))
+    drawn
+        .into_iter()
+        .min_by(|a, b| cost(a, zone).total_cmp(&cost(b, zone)))
 }
--- a/crates/core/src/forwarded/server.rs
+++ b/crates/core/src/forwarded/server.rs
@@ -35,6 +35,9 @@
     Draining,
 }
 
+/// Statements that a server which started beside the agent may have made before one arrived.
+const FIRST_STATEMENTS: u64 = 3;
+
 /// What a server says of itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ServerStatement {
@@ -85,6 +88,8 @@
     heard_at: Instant,
     cold_until: Instant,
     is_over: bool,
+    /// It had been there for a while when the agent first heard it.
+    is_older: bool,
 }
 
 /// Why a server gets no opening packets.
@@ -138,14 +143,16 @@
     /// The server reported.
     pub fn on_statement(&mut self, now: Instant, statement: ServerStatement) -> StatementOutcome {
         let cold_until = now + statement.cold_remaining;
-        let fresh = |statement| Current {
+        let is_older = self.current.is_none() && u64::from(statement.sequence) > FIRST_STATEMENTS;
+        let fresh = |statement, is_older| Current {
             statement,
             heard_at: now,
             cold_until,
             is_over: false,
+            is_older,
         };
         let Some(current) = &mut self.current else {
-            self.current = Some(fresh(statement));
+            self.current = Some(fresh(statement, is_older));
             return StatementOutcome::NewLife;
         };
         let known = &current.statement;
@@ -154,7 +161,7 @@
                 return StatementOutcome::Stale;
             }
             let changed = known.state != statement.state || known.slots != statement.slots;
-            *current = fresh(statement);
+            *current = fresh(statement, current.is_older);
             return if changed {
                 StatementOutcome::Changed
             } else {
@@ -164,7 +171,7 @@
         if statement.born < known.born {
             return StatementOutcome::Stale;
         }
-        self.current = Some(fresh(statement));
+        self.current = Some(fresh(statement, false));
         self.life = Life(self.life.0 + 1);
         self.trial_at = None;
         StatementOutcome::NewLife
@@ -230,6 +237,13 @@
         (now > lost_at || self.trial_at.is_some()).then_some(Closed::Silent)
     }
 
+    /// Whether the server's life began before the agent's, so that it may hold flows that the agent has
+    /// not seen. That may be so until it has first reported.
+    pub fn is_older(&self) -> bool {
+        let current = self.current.as_ref();
+        current.is_none_or(|c| c.is_older && !c.is_over)
+    }
+
     /// Whether the server has just started and is slow.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.current.as_ref().is_some_and(|c| now < c.cold_until)
--- a/crates/core/src/forwarded/service_map.rs
+++ b/crates/core/src/forwarded/service_map.rs
@@ -16,7 +16,9 @@
 pub struct ServiceLabel(Arc<str>);
 
 /// Share of a route's flows, relative to the others of that route.
-#[derive(Clone, Copy, Debug, Default, Display, Eq, From, FromStr, Into, Ord, PartialEq, PartialOrd)]
+#[derive(
+    Clone, Copy, Debug, Default, Display, Eq, From, FromStr, Into, Ord, PartialEq, PartialOrd,
+)]
 pub struct Weight(u32);
 
 impl Weight {
--- a/crates/wire/src/convert/config.rs
+++ b/crates/wire/src/convert/config.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use dogwoodrill_core::config::{
-    ClaimGroup, ClaimKeeper, CommittedConfig, Document, PerMille, Priority, Profile, Service, ZoneState,
-    ZoneStatus,
+    ClaimGroup, ClaimKeeper, CommittedConfig, Document, PerMille, Priority, Profile, Service,
+    ZoneState, ZoneStatus,
 };
 use dogwoodrill_core::ids::{AvailabilityZone, RegionName};
 
--- a/crates/wire/src/convert/forwarded.rs
+++ b/crates/wire/src/convert/forwarded.rs
@@ -30,7 +30,9 @@
 impl From<&Datagram> for wire::Datagram {
     fn from(d: &Datagram) -> Self {
         let greeting = &d.greeting;
-        let heard_ms = greeting.heard.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
+        let heard_ms = greeting
+            .heard
+            .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
         Self {
             boot: greeting.boot.get(),
             role: wire::Role::from(greeting.role).into(),
@@ -168,7 +170,10 @@
 }
 
 fn end(field: &'static str, ip: u32, port: u32) -> Result<SocketAddrV4, ConvertError> {
-    Ok(SocketAddrV4::new(Ipv4Addr::from_bits(ip), narrow(field, port)?))
+    Ok(SocketAddrV4::new(
+        Ipv4Addr::from_bits(ip),
+        narrow(field, port)?,
+    ))
 }
 
 impl From<&ServiceMap> for wire::ServiceMap {
--- a/src/bin/dogwoodrill/node.rs
+++ b/src/bin/dogwoodrill/node.rs
@@ -9,10 +9,12 @@
 
 /// Options of the subcommand.
 #[derive(Debug, Options)]
-#[options(help = "Runs a process of the platform in the role that its settings name, until SIGTERM.
+#[options(
+    help = "Runs a process of the platform in the role that its settings name, until SIGTERM.
 
 Example:
-  dogwoodrill node --settings /etc/dogwoodrill/node.yaml")]
+  dogwoodrill node --settings /etc/dogwoodrill/node.yaml"
+)]
 pub struct Cli {
     #[options(help = "print this help")]
     help: bool,
@@ -27,5 +29,9 @@
 /// Runs the subcommand.
 pub async fn run(cli: Cli) -> Report {
     let settings = cli.settings;
-    Report::of_daemon(ops::run_node(NodeOptions { settings }).await.map_err(Into::into))
+    Report::of_daemon(
+        ops::run_node(NodeOptions { settings })
+            .await
+            .map_err(Into::into),
+    )
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -38,7 +38,7 @@
 mod spread;
 pub(crate) mod storage;
 
-use driver::{Driver, DriverError};
+use driver::{Driver, DriverError, LogTerms};
 use handle::Handle;
 use members::ConsensusService;
 use operators::OperatorService;
@@ -159,7 +159,15 @@
         let storage = Storage::open(cx.node, &options.data, None)?;
         let cluster = Arc::new(Cluster::default());
         let (handle, inputs) = handle::channel();
-        let driver = Driver::new(&cx, &cluster, storage, address, options.initial, inputs);
+        let driver = Driver::new(
+            &cx,
+            &cluster,
+            storage,
+            address,
+            options.initial,
+            inputs,
+            LogTerms::default(),
+        );
         let own = ControlHost {
             node: cx.node,
             address,
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -66,6 +66,15 @@
     },
 }
 
+/// How a log is kept.
+#[derive(Clone, Debug, Default)]
+pub struct LogTerms {
+    /// Times and sizes.
+    pub options: Options,
+    /// Voters below which a host that asks is taken in; 0 where only operators decide.
+    pub wanted_voters: usize,
+}
+
 type Waiting<T> = oneshot::Sender<Result<T, HostRefusal>>;
 
 /// Owns the replica, its disk and its callers.
@@ -76,6 +85,7 @@
     identity: Identity,
     address: SocketAddr,
     initial: CommittedConfig,
+    terms: LogTerms,
     inputs: mpsc::Receiver<Input>,
     peers: Peers,
     replica: Replica,
@@ -100,6 +110,7 @@
         address: SocketAddr,
         initial: CommittedConfig,
         inputs: mpsc::Receiver<Input>,
+        terms: LogTerms,
     ) -> Self {
         let identity = storage.identity;
         let now = Instant::now();
@@ -112,7 +123,8 @@
             initial,
             inputs,
             peers: Peers::new(cx.clone()),
-            replica: replica(&identity, storage.restored, now),
+            replica: replica(&identity, storage.restored, &terms, now),
+            terms,
             disk_full: storage.store.is_full(),
             store: Some(storage.store),
             room_at: now,
@@ -125,12 +137,6 @@
         }
     }
 
-    /// The same driver, which takes hosts in by itself until there are `wanted` voters.
-    pub(crate) fn with_voters(mut self, wanted: usize) -> Self {
-        self.replica.want_voters(wanted);
-        self
-    }
-
     /// Runs until `token` is cancelled or the disk fails.
     pub async fn run(mut self, token: CancellationToken) -> Result<(), DriverError> {
         let ended = self.drive(&token).await;
@@ -280,9 +286,7 @@
         self.with_store(move |store| store.write(&first)).await?;
         let drawn = || ClusterId::new(rand::random_range(1..=u64::MAX));
         self.enter_cluster(cluster.unwrap_or_else(drawn)).await?;
-        let wanted = self.replica.wanted_voters();
-        self.replica = replica(&self.identity, restored, Instant::now());
-        self.replica.want_voters(wanted);
+        self.replica = replica(&self.identity, restored, &self.terms, Instant::now());
         Ok(())
     }
 
@@ -448,9 +452,10 @@
     }
 }
 
-fn replica(identity: &Identity, restored: Restored, now: Instant) -> Replica {
-    let seed = rand::random();
-    Replica::new(identity.host, Options::default(), restored, now, seed)
+fn replica(identity: &Identity, restored: Restored, terms: &LogTerms, now: Instant) -> Replica {
+    let (options, seed) = (terms.options.clone(), rand::random());
+    let replica = Replica::new(identity.host, options, restored, now, seed);
+    replica.with_wanted_voters(terms.wanted_voters)
 }
 
 const fn role(role: RoleName) -> ControlRole {
--- a/src/control/place.rs
+++ b/src/control/place.rs
@@ -166,10 +166,13 @@
         match decide(self.own, host, &self.peers, &answers)? {
             Decision::Found(membership) => {
                 let members = membership.members().len();
-                let told = self.handle.tell(Input::Found {
-                    membership,
-                    cluster: None,
-                }).await;
+                let told = self
+                    .handle
+                    .tell(Input::Found {
+                        membership,
+                        cluster: None,
+                    })
+                    .await;
                 let state = format!("founding a cluster of {members} control hosts");
                 Ok(told.map_or_else(|stopped| stopped.to_string(), |()| state))
             }
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -11,8 +11,9 @@
 use bytes::Bytes;
 use derive_more::{Display, From};
 use dogwoodrill_consensus::{
-    Apply, Batch, Entry, Envelope, JoinError, Member, MemberId, MemberProgress, MemberRole, Membership, Node,
-    Options, Payload, ReadId, ReadOutcome, Restored, RoleName, Snapshot, Standing, SyncMark,
+    Apply, Batch, Entry, Envelope, JoinError, Member, MemberId, MemberProgress, MemberRole,
+    Membership, Node, Options, Payload, ReadId, ReadOutcome, Restored, RoleName, Snapshot,
+    Standing, SyncMark,
 };
 use dogwoodrill_core::changes::{Accepted, Change, Command, CommandId};
 use dogwoodrill_core::config::CommittedConfig;
@@ -27,6 +28,8 @@
 
 /// Entries after which the state takes the place of the log before it.
 const COMPACT_AFTER: u64 = 8192;
+/// Bytes of commands after which it does too.
+const COMPACT_AFTER_BYTES: usize = 4 << 20;
 /// Time without an answer after which another host may take a voter's place: longer than a restart.
 pub const LOST_AFTER: Duration = Duration::from_secs(3);
 
@@ -107,6 +110,8 @@
     confirmed_reads: BTreeMap<LogIndex, Vec<Ticket>>,
     next_read: u64,
     replies: Vec<(Ticket, Reply)>,
+    /// Bytes of the commands applied since the last snapshot.
+    applied_bytes: usize,
     wanted_voters: usize,
     /// Since when a voter has not answered, as seen whenever a host asked to be taken in.
     silent_since: BTreeMap<MemberId, Instant>,
@@ -131,19 +136,18 @@
             confirmed_reads: BTreeMap::new(),
             next_read: 0,
             replies: Vec::new(),
+            applied_bytes: 0,
             wanted_voters: 0,
             silent_since: BTreeMap::new(),
         }
     }
 
-    /// Voters below which a host that asks is taken in without taking anyone's place.
-    pub const fn want_voters(&mut self, wanted: usize) {
+    /// The same copy, which takes in a host that asks, without taking anyone's place, while there are
+    /// fewer voters than `wanted`.
+    #[must_use]
+    pub const fn with_wanted_voters(mut self, wanted: usize) -> Self {
         self.wanted_voters = wanted;
-    }
-
-    /// See [`Self::want_voters`].
-    pub const fn wanted_voters(&self) -> usize {
-        self.wanted_voters
+        self
     }
 
     /// The state as far as it is applied.
@@ -262,7 +266,9 @@
         if members.iter().any(|m| m.id == joining.id) {
             return Ok(());
         }
-        let on_host = members.iter().find(|m| m.node == joining.node && m.replaces.is_none());
+        let on_host = members
+            .iter()
+            .find(|m| m.node == joining.node && m.replaces.is_none());
         if let Some(replaced) = on_host.map(|m| m.id) {
             return self.node.join(now, joining, Some(replaced));
         }
@@ -299,7 +305,9 @@
     }
 
     fn compact(&mut self) {
-        if self.applied.get() >= self.node.snapshot_index().get() + COMPACT_AFTER {
+        let many = self.applied.get() >= self.node.snapshot_index().get() + COMPACT_AFTER;
+        if many || self.applied_bytes >= COMPACT_AFTER_BYTES {
+            self.applied_bytes = 0;
             let state = wire::State::from(&self.state).encode_to_vec();
             self.node.compact(self.applied, state.into());
         }
@@ -332,6 +340,7 @@
         self.applied = index;
         let waiting = self.changes.remove(&index);
         if let Payload::Command(bytes) = entry.payload {
+            self.applied_bytes += bytes.len();
             let command = wire::Command::decode(bytes).context(DecodeSnafu)?;
             let command = Command::try_from(command).context(ConvertSnafu)?;
             let answer = self.state.apply(index, command);
--- a/src/forwarded/agent.rs
+++ b/src/forwarded/agent.rs
@@ -192,7 +192,8 @@
         self.stop_at = Some(Instant::now() + LINGER);
         self.agent.stop();
         self.ready.send_replace(false);
-        self.journal.event(Event::new("stopping").with("no new flows"));
+        self.journal
+            .event(Event::new("stopping").with("no new flows"));
     }
 
     fn on_said(&mut self, said: Said) {
@@ -201,7 +202,10 @@
             Said::Report(statement, reply) => {
                 let subject = format!("{} {}", statement.id, statement.state);
                 let outcome = self.agent.on_statement(now, statement);
-                if matches!(outcome, StatementOutcome::NewLife | StatementOutcome::Changed) {
+                if matches!(
+                    outcome,
+                    StatementOutcome::NewLife | StatementOutcome::Changed
+                ) {
                     let event = Event::new("server reported").about(subject).with(outcome);
                     self.journal.event(event);
                 }
@@ -211,7 +215,8 @@
             Said::Leave(id, reply) => {
                 let left = self.agent.on_leave(now, &id);
                 let event = Event::new("server leaves").about(id);
-                self.journal.event(event.with(if left { "gone" } else { "not the current one" }));
+                self.journal
+                    .event(event.with(if left { "gone" } else { "not the current one" }));
                 reply.send(left).ok();
             }
             Said::PortClosed => {
@@ -233,11 +238,15 @@
         self.tell_of_change(now);
         let report = self.agent.report(now);
         let index = self.agent.map().index;
-        self.datagrams.greet(now, self.agent.mesh_mut(), index, report.as_ref());
+        self.datagrams
+            .greet(now, self.agent.mesh_mut(), index, report.as_ref());
         self.tell_keepers(index.get());
         let ready = self.agent.map().table.is_some() && self.stop_at.is_none();
-        self.ready.send_if_modified(|was| std::mem::replace(was, ready) != ready);
-        self.metrics.flows.set(i64::try_from(self.agent.flows()).unwrap_or(i64::MAX));
+        self.ready
+            .send_if_modified(|was| std::mem::replace(was, ready) != ready);
+        self.metrics
+            .flows
+            .set(i64::try_from(self.agent.flows()).unwrap_or(i64::MAX));
         let decisions = self.agent.take_decisions();
         self.metrics.on_decisions(&decisions);
         self.journal.decisions(decisions);
@@ -280,7 +289,8 @@
     fn greeting_to(&self, to: Ipv4Addr, index: u64) -> Greeting {
         let now = Instant::now();
         let heard = self.agent.mesh().heard_age(now, to);
-        self.datagrams.greeting(heard, index.into(), self.agent.report(now))
+        self.datagrams
+            .greeting(heard, index.into(), self.agent.report(now))
     }
 
     fn act(&mut self) {
@@ -333,8 +343,13 @@
                 mesh.learn(now, node);
             }
             if news.is_new || news.restarted {
-                let event = if news.restarted { "node restarted" } else { "node heard" };
-                self.journal.event(Event::new(event).about(format!("{role} {from}")));
+                let event = if news.restarted {
+                    "node restarted"
+                } else {
+                    "node heard"
+                };
+                self.journal
+                    .event(Event::new(event).about(format!("{role} {from}")));
             }
             if role == NodeRole::Control {
                 self.fetcher.on_index(from, theirs, self.agent.map().index);
@@ -371,7 +386,9 @@
             self.metrics.packets.with_label_values(&["node"]).inc();
             match self.format.read(packet) {
                 Ok(header) => {
-                    let fate = self.agent.on_caller_packet(Instant::now(), from, &header, packet);
+                    let fate = self
+                        .agent
+                        .on_caller_packet(Instant::now(), from, &header, packet);
                     self.carry_out(fate, &header, packet);
                 }
                 Err(_) => self.metrics.bad_packets.inc(),
@@ -419,6 +436,10 @@
 /// Whether the host refuses connections to the server's port. A server that is only slow or frozen
 /// does not refuse.
 async fn is_port_closed(server: SocketAddrV4) -> bool {
-    let connected = timeout(PORT_CHECK_TIMEOUT, TcpStream::connect(SocketAddr::V4(server))).await;
+    let connected = timeout(
+        PORT_CHECK_TIMEOUT,
+        TcpStream::connect(SocketAddr::V4(server)),
+    )
+    .await;
     matches!(connected, Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused)
 }
--- a/src/forwarded/balancer.rs
+++ b/src/forwarded/balancer.rs
@@ -25,7 +25,8 @@
 /// Time to go on after the request to stop: the fabric takes out a balancer that fails two checks, a
 /// second apart at most, and callers' packets follow.
 const LINGER: Duration = Duration::from_millis(2500);
-/// Time after the start before the balancer says it is ready: agents have greeted it by then.
+/// Time after the start in which the balancer waits for the greetings of all agents before it says
+/// that it is ready; those that are there have greeted it by then.
 const SETTLE: Duration = Duration::from_millis(700);
 
 /// A balancer whose sockets are bound.
@@ -129,9 +130,14 @@
         let now = Instant::now();
         self.balancer.on_tick(now);
         let index = self.balancer.map().index;
-        self.datagrams.greet(now, self.balancer.mesh_mut(), index, None);
-        let ready = self.balancer.is_ready(now) && now >= self.ready_from && self.stop_at.is_none();
-        if self.ready.send_if_modified(|was| std::mem::replace(was, ready) != ready) {
+        self.datagrams
+            .greet(now, self.balancer.mesh_mut(), index, None);
+        let settled = now >= self.ready_from || self.balancer.has_heard_all();
+        let ready = self.balancer.is_ready(now) && settled && self.stop_at.is_none();
+        if self
+            .ready
+            .send_if_modified(|was| std::mem::replace(was, ready) != ready)
+        {
             let event = if ready { "ready" } else { "not ready" };
             self.journal.event(Event::new(event).at(index.get()));
         }
@@ -162,11 +168,17 @@
                 mesh.learn(now, node);
             }
             if news.is_new || news.restarted {
-                let event = if news.restarted { "node restarted" } else { "node heard" };
-                self.journal.event(Event::new(event).about(format!("{role} {from}")));
+                let event = if news.restarted {
+                    "node restarted"
+                } else {
+                    "node heard"
+                };
+                self.journal
+                    .event(Event::new(event).about(format!("{role} {from}")));
             }
             if role == NodeRole::Control {
-                self.fetcher.on_index(from, theirs, self.balancer.map().index);
+                self.fetcher
+                    .on_index(from, theirs, self.balancer.map().index);
             }
             self.balancer.on_places(from, datagram.places);
         }
--- a/src/forwarded/control.rs
+++ b/src/forwarded/control.rs
@@ -13,7 +13,7 @@
 
 use arc_swap::ArcSwap;
 use dogwoodrill_consensus::store::file::ClusterId;
-use dogwoodrill_consensus::{Member, MemberId, MemberRole, Membership};
+use dogwoodrill_consensus::{Member, MemberId, MemberRole, Membership, Options};
 use dogwoodrill_core::config::{CommittedConfig, ZoneStatus};
 use dogwoodrill_core::control_status::ControlHost;
 use dogwoodrill_core::forwarded::mesh::{Mesh, NodeAddress};
@@ -40,11 +40,11 @@
 use super::packets;
 use crate::cluster::Cluster;
 use crate::context::Cx;
-use crate::control::driver::{Driver, DriverError};
+use crate::control::ControlError;
+use crate::control::driver::{Driver, DriverError, LogTerms};
 use crate::control::handle::{self, Handle, Input};
 use crate::control::members::ConsensusService;
 use crate::control::storage::Storage;
-use crate::control::ControlError;
 use crate::transport;
 
 /// Time between two looks at greetings and the log.
@@ -56,6 +56,26 @@
 /// Time that a control host has to answer such a request.
 const JOIN_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time without a leader after which a control host campaigns: several syncs of a disk that takes 30
+/// times as long as usual fit in.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
+/// The same for hosts that all started at once.
+const FIRST_ELECTION_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time between heartbeats of a leader.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
+/// Entries kept in memory behind the snapshot; each may be a whole configuration.
+const LOG_TAIL: u64 = 16;
+
+fn log_options() -> Options {
+    Options {
+        election_timeout: ELECTION_TIMEOUT,
+        first_election_timeout: FIRST_ELECTION_TIMEOUT,
+        heartbeat_interval: HEARTBEAT_INTERVAL,
+        max_entries: 16,
+        tail: LOG_TAIL,
+    }
+}
+
 /// Reads the body of a document; it was checked when it was taken in.
 pub type ReadDocument = fn(&[u8]) -> Result<RouteTable, Box<dyn std::error::Error + Send + Sync>>;
 
@@ -129,8 +149,11 @@
         let cluster = Arc::new(Cluster::default());
         let (handle, inputs) = handle::channel();
         let initial = CommittedConfig::default();
-        let wanted = 2 * places.tolerated_losses + 1;
-        let driver = Driver::new(cx, &cluster, storage, address, initial, inputs);
+        let terms = LogTerms {
+            options: log_options(),
+            wanted_voters: 2 * places.tolerated_losses + 1,
+        };
+        let driver = Driver::new(cx, &cluster, storage, address, initial, inputs, terms);
         Ok(Self {
             cx: cx.clone(),
             cluster,
@@ -146,7 +169,7 @@
                 members: watch::Sender::new(Arc::default()),
             },
             handle,
-            driver: Box::new(driver.with_voters(wanted)),
+            driver: Box::new(driver),
             datagrams,
             maps: Maps {
                 read,
@@ -279,7 +302,10 @@
 
     /// Asks each seed in turn; only the leader can take a host in.
     async fn ask(&self, host: MemberId, seeds: &[NodeAddress]) {
-        for seed in seeds.iter().filter(|s| SocketAddr::from((s.ip, self.own.address.port())) != self.own.address) {
+        for seed in seeds
+            .iter()
+            .filter(|s| SocketAddr::from((s.ip, self.own.address.port())) != self.own.address)
+        {
             let address = SocketAddr::from((seed.ip, self.own.address.port()));
             match timeout(JOIN_TIMEOUT, self.ask_one(address, host)).await {
                 Ok(Some(Answer::TakenIn(_))) => log::info!("taken in by {address}"),
@@ -308,10 +334,13 @@
 }
 
 fn addresses(membership: &Membership) -> Arc<[NodeAddress]> {
-    let ips = membership.members().iter().filter_map(|m| match m.address.ip() {
-        std::net::IpAddr::V4(ip) => Some(ip),
-        std::net::IpAddr::V6(_) => None,
-    });
+    let ips = membership
+        .members()
+        .iter()
+        .filter_map(|m| match m.address.ip() {
+            std::net::IpAddr::V4(ip) => Some(ip),
+            std::net::IpAddr::V6(_) => None,
+        });
     let role = NodeRole::Control;
     ips.map(|ip| NodeAddress { ip, role }).collect()
 }
@@ -324,10 +353,16 @@
 }
 
 impl Maps {
-    fn renew(&self, config: &CommittedConfig) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
+    fn renew(
+        &self,
+        config: &CommittedConfig,
+    ) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
         let document = config.document.as_ref();
         let table = document.map(|d| (self.read)(&d.body)).transpose()?;
-        let out = config.zones.values().filter(|z| z.status == ZoneStatus::Out);
+        let out = config
+            .zones
+            .values()
+            .filter(|z| z.status == ZoneStatus::Out);
         let map = ServiceMap {
             index: config.index,
             table: table.map(Arc::new),
@@ -437,8 +472,13 @@
             let role = datagram.greeting.role;
             let news = self.mesh.on_greeting(now, from, datagram.greeting);
             if news.is_new || news.restarted {
-                let event = if news.restarted { "node restarted" } else { "node heard" };
-                self.journal.event(Event::new(event).about(format!("{role} {from}")));
+                let event = if news.restarted {
+                    "node restarted"
+                } else {
+                    "node heard"
+                };
+                self.journal
+                    .event(Event::new(event).about(format!("{role} {from}")));
             }
             if role != NodeRole::Control {
                 let nodes = self.known(now);
@@ -455,7 +495,10 @@
             ip,
             role: known.role,
         });
-        let controls = self.mesh.nodes().filter(|(_, k)| k.role == NodeRole::Control);
+        let controls = self
+            .mesh
+            .nodes()
+            .filter(|(_, k)| k.role == NodeRole::Control);
         let controls = controls.map(|(ip, known)| NodeAddress {
             ip,
             role: known.role,
--- a/src/forwarded/datagrams.rs
+++ b/src/forwarded/datagrams.rs
@@ -108,12 +108,7 @@
     }
 
     /// Tells a node which flows are here.
-    pub fn tell_places(
-        &self,
-        to: Ipv4Addr,
-        greeting: &Greeting,
-        places: &[FlowPlace],
-    ) {
+    pub fn tell_places(&self, to: Ipv4Addr, greeting: &Greeting, places: &[FlowPlace]) {
         for places in places.chunks(PLACES_PER_DATAGRAM) {
             let datagram = Datagram {
                 greeting: greeting.clone(),
--- a/src/forwarded/journal.rs
+++ b/src/forwarded/journal.rs
@@ -94,7 +94,10 @@
     hops: u8,
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "the serializer passes a reference")]
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the serializer passes a reference"
+)]
 const fn is_zero(hops: &u8) -> bool {
     *hops == 0
 }
@@ -109,7 +112,9 @@
             why: d.reason.map(|r| r.to_string()),
             service: d.service.map(|s| s.to_string()),
             busy: d.busy,
-            age_ms: d.age.map(|a| u64::try_from(a.as_millis()).unwrap_or(u64::MAX)),
+            age_ms: d
+                .age
+                .map(|a| u64::try_from(a.as_millis()).unwrap_or(u64::MAX)),
             hops: d.hops,
         }
     }
--- a/src/forwarded/metrics.rs
+++ b/src/forwarded/metrics.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 
 use dogwoodrill_core::forwarded::decision::Decision;
-use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 /// Upper bounds of the buckets for the time that a packet waits in this process, in seconds.
 const TURN_BUCKETS: [f64; 7] = [0.000_1, 0.000_5, 0.001, 0.005, 0.02, 0.1, 0.5];
--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -13,9 +13,9 @@
 use dogwoodrill_core::forwarded::mesh::NodeAddress;
 use dogwoodrill_core::forwarded::node::{NodeRole, NodeSettings, RoleSettings};
 use dogwoodrill_core::forwarded::service_map::RouteTable;
+use dogwoodrill_platform::document;
 use dogwoodrill_platform::packet::PlatformPackets;
 use dogwoodrill_platform::settings::{self, SETTINGS_VARIABLE, SettingsError};
-use dogwoodrill_platform::document;
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -189,7 +189,8 @@
         address: SocketAddrV4,
         ready: watch::Receiver<bool>,
     ) -> Result<(), NodeError> {
-        self.serve(address, Server::new(http::Ready::new(ready))).await
+        self.serve(address, Server::new(http::Ready::new(ready)))
+            .await
     }
 
     async fn serve<C: http::Answer>(
@@ -243,7 +244,10 @@
             continue;
         }
         let Some(text) = text else {
-            log::warn!("cannot read {}; the settings stay as they are", path.display());
+            log::warn!(
+                "cannot read {}; the settings stay as they are",
+                path.display()
+            );
             continue;
         };
         match settings::parse(&path, &text) {
--- a/src/ops/node/http.rs
+++ b/src/ops/node/http.rs
@@ -98,7 +98,10 @@
             let path = parts.uri.path().to_owned();
             calls.answer(parts.method, path, body.to_bytes()).await
         }
-        Err(e) => text(StatusCode::BAD_REQUEST, format!("cannot read the body: {e}\n")),
+        Err(e) => text(
+            StatusCode::BAD_REQUEST,
+            format!("cannot read the body: {e}\n"),
+        ),
     }
 }
 
--- a/src/ops/node/operators.rs
+++ b/src/ops/node/operators.rs
@@ -81,7 +81,10 @@
                 Err(refusal) => return self.refuse(path, &refusal),
             }
         }
-        text(StatusCode::SERVICE_UNAVAILABLE, "others change the zone; try again\n")
+        text(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "others change the zone; try again\n",
+        )
     }
 
     fn refuse(&self, path: &str, refusal: &HostRefusal) -> Reply {
--- a/src/ops/node/servers.rs
+++ b/src/ops/node/servers.rs
@@ -42,7 +42,10 @@
             ServerCall::Report(statement) if !self.is_own(&statement) => {
                 let (id, address) = (&statement.id, statement.address);
                 log::warn!("refused a report of {id} at {address}, which is not beside this agent");
-                return text(StatusCode::BAD_REQUEST, "this server is not beside this agent\n");
+                return text(
+                    StatusCode::BAD_REQUEST,
+                    "this server is not beside this agent\n",
+                );
             }
             ServerCall::Report(statement) => self.handle.report(statement).await.is_some(),
             ServerCall::Leave(id) => self.handle.leave(&id).await.is_some(),
