--- a/crates/core/src/forwarded/agent.rs
+++ b/crates/core/src/forwarded/agent.rs
@@ -24,7 +24,7 @@
 use super::keepers::{FlowDirectory, FlowPlace, Keepers};
 use super::mesh::{Mesh, ServerReport};
 use super::packet::{FlowKey, Header, Purpose, Trail};
-use super::placement::{self, Candidate};
+use super::placement::{self, Candidate, WorkTime};
 use super::server::{Life, Server, ServerStatement, StatementOutcome};
 use super::service_map::{ServiceLabel, ServiceMap};
 
@@ -49,8 +49,12 @@
 const IDLE_TTL: Duration = Duration::from_secs(30);
 /// Time from a server's farewell to the end of its flows; it may still be sending.
 const FAREWELL: Duration = Duration::from_millis(300);
-/// Load, in full servers, by which a peer must be less loaded to get an opening packet.
-const PASS_ON_MARGIN: f64 = 0.25;
+/// Report intervals for which a server that has just started may serve before its first report
+/// arrives.
+const UNREPORTED_INTERVALS: f64 = 1.5;
+/// Time by which a peer must be done earlier to get an opening packet: the way there, and what may have
+/// changed since it reported.
+const PASS_ON_MARGIN: Duration = Duration::from_millis(8);
 /// Agents that a packet of an unknown flow is sent to.
 const MAX_SEARCHED: usize = 16;
 /// Searches in one tick; a bound on what packets of flows that never were can cost.
@@ -93,6 +97,8 @@
         /// The packet.
         packet: Bytes,
     },
+    /// Give a packet that was kept to the backend server again.
+    Deliver(Bytes),
     /// Break a flow off.
     Reset {
         /// The flow.
@@ -124,7 +130,12 @@
     /// A request is about to come.
     Expected { until: Instant },
     /// The server works on one.
-    Running { until: Instant },
+    Running {
+        since: Instant,
+        /// Requests at the server when it came.
+        among: u32,
+        until: Instant,
+    },
     /// None.
     Idle,
 }
@@ -141,8 +152,12 @@
     /// The caller has acknowledged what the server said first.
     is_open: bool,
     server_seq: Option<u32>,
+    /// When the server first answered.
+    answered_at: Option<Instant>,
     /// The opening packet, while the server has not answered it.
     opening: Option<Bytes>,
+    /// The first packet of the request that the server works on.
+    request: Option<Bytes>,
     trail: Trail,
     work: Work,
     caller_next: u32,
@@ -156,6 +171,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Redirect {
     to: Ipv4Addr,
+    /// The copy of the opening packet that was passed on.
+    copy: u32,
     until: Instant,
 }
 
@@ -171,6 +188,7 @@
     cold: ColdBudget,
     flows: HashMap<FlowKey, Flow>,
     busy: u32,
+    work: WorkTime,
     redirects: HashMap<FlowKey, Redirect>,
     directory: FlowDirectory,
     unanswered: VecDeque<(Instant, FlowKey)>,
@@ -204,6 +222,7 @@
             cold: ColdBudget::default(),
             flows: HashMap::new(),
             busy: 0,
+            work: WorkTime::default(),
             redirects: HashMap::new(),
             directory: FlowDirectory::default(),
             unanswered: VecDeque::new(),
@@ -289,6 +308,7 @@
             open: open && !self.is_stopping,
             cold: self.server.is_cold(now),
             busy: self.busy,
+            work: self.work.measured(),
             flows: u32::try_from(self.flows.len()).unwrap_or(u32::MAX),
             slots: statement.slots,
         })
@@ -298,7 +318,8 @@
     pub fn on_statement(&mut self, now: Instant, statement: ServerStatement) -> StatementOutcome {
         let outcome = self.server.on_statement(now, statement);
         if outcome == StatementOutcome::NewLife {
-            self.end_flows(|life, current| life < current);
+            self.work = WorkTime::default();
+            self.end_earlier_flows(now);
         }
         outcome
     }
@@ -312,34 +333,54 @@
         left
     }
 
-    /// Nothing listens at the server's port; true if its life ended by that.
-    pub fn on_port_closed(&mut self) -> bool {
+    /// Nothing listened at the server's port when it was looked at, `looked_at`; true if its life
+    /// ended by that.
+    pub fn on_port_closed(&mut self, looked_at: Instant) -> bool {
         let ended = self.server.on_port_closed();
         if ended {
-            self.end_flows(|life, current| life <= current);
+            self.end_flows(|f| f.answered_at.is_none_or(|at| at < looked_at));
         }
         ended
     }
 
-    /// Tells the callers of flows whose server is gone, so that they can ask again at once.
-    fn end_flows(&mut self, is_over: impl Fn(Life, Life) -> bool) {
+    /// A new life of the server was heard of. It may have answered flows before it reported: those are
+    /// asked after by sending their request again, which a server hands back that does not hold them.
+    fn end_earlier_flows(&mut self, now: Instant) {
         let current = self.server.life();
-        let over = self.flows.iter().filter(|(_, f)| is_over(f.life, current));
+        let unreported = self.server.report_interval().mul_f64(UNREPORTED_INTERVALS);
+        let earlier = |f: &Flow| f.life < current;
+        let is_recent = |f: &Flow| f.answered_at.is_some_and(|at| now < at + unreported);
+        self.end_flows(|f| earlier(f) && !is_recent(f));
+        for flow in self.flows.values_mut().filter(|f| earlier(f)) {
+            flow.life = current;
+            let asked = flow.request.clone().map(Action::Deliver);
+            self.actions.extend(asked);
+        }
+    }
+
+    /// Tells the callers of flows whose server is gone, so that they can ask again at once.
+    fn end_flows(&mut self, is_over: impl Fn(&Flow) -> bool) {
+        let over = self.flows.iter().filter(|(_, f)| is_over(f));
         let mut over: Vec<_> = over.map(|(flow, _)| *flow).collect();
         over.sort_unstable();
         for key in over {
-            let Some(flow) = self.remove(key) else {
-                continue;
-            };
-            if flow.caller_ended && flow.server_ended {
-                continue;
+            if let Some(flow) = self.remove(key) {
+                self.break_off(key, &flow);
             }
-            let seq = flow.caller_ack;
-            self.actions.push(Action::Reset { flow: key, seq });
-            self.decide(Decision::new(Step::ServerGone, key, self.map.index));
         }
     }
 
+    fn break_off(&mut self, key: FlowKey, flow: &Flow) {
+        // A flow that is not open here may have opened at the peer that got its opening packet too.
+        let may_be_elsewhere = !flow.is_open && self.redirects.contains_key(&key);
+        if may_be_elsewhere || (flow.caller_ended && flow.server_ended) {
+            return;
+        }
+        let seq = flow.caller_ack;
+        self.actions.push(Action::Reset { flow: key, seq });
+        self.decide(Decision::new(Step::ServerGone, key, self.map.index));
+    }
+
     /// A packet of a caller came in; `from` is the node that sent it.
     pub fn on_caller_packet(
         &mut self,
@@ -357,13 +398,8 @@
 
     fn on_opening(&mut self, now: Instant, from: Ipv4Addr, header: &Header, packet: &[u8]) -> Fate {
         let key = header.caller_flow();
-        // A peer that hands the packet back has judged it since; two redirections must not form a ring.
-        if let Some(to) = self.redirect(now, key).filter(|to| *to != from) {
-            return if header.trail.hops < MAX_HOPS {
-                self.forward_opening(to, header.trail)
-            } else {
-                Fate::Drop
-            };
+        if let Some(to) = self.copy_redirect(now, header).filter(|to| *to != from) {
+            return self.forward_opening(to, header.trail);
         }
         if let Some(flow) = self.flows.get_mut(&key) {
             // The answer may have been lost; the server gives it again.
@@ -385,9 +421,10 @@
             return self.pass_on(now, from, header, reason);
         }
         match self.fullness() {
-            Fullness::Easy => self.accept(now, header, packet),
-            Fullness::Full => {
-                let least = self.own_load() - PASS_ON_MARGIN;
+            Fullness::Most => self.pass_on(now, from, header, Reason::Busy),
+            Fullness::Room => {
+                let own = placement::completion(self.work.time(), self.busy, self.slots());
+                let least = own.saturating_sub(PASS_ON_MARGIN);
                 match self.peer(now, from, key, Some(least)) {
                     Some(to) if header.trail.hops < MAX_HOPS => {
                         self.redirect_to(now, to, header, Reason::Busy)
@@ -395,7 +432,6 @@
                     _ => self.accept(now, header, packet),
                 }
             }
-            Fullness::Most => self.pass_on(now, from, header, Reason::Busy),
         }
     }
 
@@ -413,11 +449,7 @@
     }
 
     fn fullness(&self) -> Fullness {
-        gate::fullness(self.busy, self.slots())
-    }
-
-    fn own_load(&self) -> f64 {
-        f64::from(self.busy) / f64::from(self.slots().max(1))
+        gate::fullness(self.work.time(), self.busy, self.slots())
     }
 
     fn accept(&mut self, now: Instant, header: &Header, packet: &[u8]) -> Fate {
@@ -426,7 +458,9 @@
             life: self.server.life(),
             is_open: false,
             server_seq: None,
+            answered_at: None,
             opening: Some(Bytes::copy_from_slice(packet)),
+            request: None,
             trail: header.trail,
             work: Work::Expected {
                 until: now + OPENING_TTL,
@@ -482,25 +516,24 @@
         own.or_else(|| route.pick(draw)).cloned()
     }
 
-    /// A peer that may take the flow, with a load below `least` where one is given.
+    /// A peer that may take the flow, and would be done with it before `least` where that is given.
     fn peer(
         &mut self,
         now: Instant,
         from: Ipv4Addr,
         key: FlowKey,
-        least: Option<f64>,
+        least: Option<Duration>,
     ) -> Option<Ipv4Addr> {
         let service = self.service_of(key)?;
         let zone = self.server.statement().map(|s| s.zone.clone());
         let map = &self.map;
         let open = self.mesh.open_agents(now, &service);
         let open = open.filter(|(ip, heard)| *ip != from && map.is_zone_in(&heard.report.zone));
-        let open = open.filter(|(_, h)| least.is_none_or(|least| placement::load(h) < least));
+        let open = open.filter(|(_, h)| least.is_none_or(|least| placement::expected(h) < least));
         let candidates = open.map(|(agent, heard)| Candidate { agent, heard });
         let chosen = match &zone {
             Some(zone) => placement::choose(&mut self.rng, candidates, zone)?,
-            None => candidates
-                .min_by(|a, b| placement::load(a.heard).total_cmp(&placement::load(b.heard)))?,
+            None => candidates.min_by_key(|c| placement::expected(c.heard))?,
         };
         Some(chosen.agent)
     }
@@ -508,7 +541,8 @@
     fn redirect_to(&mut self, now: Instant, to: Ipv4Addr, header: &Header, why: Reason) -> Fate {
         let key = header.caller_flow();
         let until = now + REDIRECT_TTL;
-        self.redirects.insert(key, Redirect { to, until });
+        let copy = header.ack;
+        self.redirects.insert(key, Redirect { to, copy, until });
         self.mesh.on_placed(to);
         self.decide(Decision {
             node: Some(to),
@@ -521,6 +555,17 @@
         self.forward_opening(to, header.trail)
     }
 
+    /// Where an earlier copy of an opening packet went. The same copy again was handed on by those to
+    /// whom it went, so it is judged anew: redirections must not form a ring.
+    fn copy_redirect(&self, now: Instant, header: &Header) -> Option<Ipv4Addr> {
+        let key = header.caller_flow();
+        let is_later = self
+            .redirects
+            .get(&key)
+            .is_some_and(|r| header.ack > r.copy);
+        self.redirect(now, key).filter(|_| is_later)
+    }
+
     const fn forward_opening(&self, to: Ipv4Addr, trail: Trail) -> Fate {
         let trail = Trail {
             hops: trail.hops + 1,
@@ -541,7 +586,7 @@
         let Some(flow) = self.flows.get_mut(&key) else {
             return self.locate(now, header, packet);
         };
-        if !flow.is_open && header.trail.purpose != Purpose::Kept && !acknowledges(flow, header) {
+        if !flow.is_open && !acknowledges(flow, header) {
             return self.locate(now, header, packet);
         }
         flow.is_open = true;
@@ -552,8 +597,19 @@
         let is_news = header.len > 0 && end.wrapping_sub(flow.caller_next).cast_signed() > 0;
         if is_news {
             flow.caller_next = end;
+            if !matches!(flow.work, Work::Running { .. }) {
+                flow.request = Some(Bytes::copy_from_slice(packet));
+            }
             let until = now + WORK_TIMEOUT;
-            self.set_work(key, Work::Running { until });
+            let among = self.busy;
+            self.set_work(
+                key,
+                Work::Running {
+                    since: now,
+                    among,
+                    until,
+                },
+            );
         } else if header.flags.is_ending() {
             self.end(now, key);
         }
@@ -587,6 +643,8 @@
         let own = self.mesh.own().ip;
         let holder = self.directory.find(key, header.ack);
         match trail.purpose {
+            // The flow opened at another server, whose agent the keeper did not hear of.
+            Purpose::Kept | Purpose::Search if self.flows.contains_key(&key) => Fate::Drop,
             // All servers of the service get it, among them its own.
             Purpose::Search if !self.may_hold_unknown(now) => Fate::Drop,
             Purpose::Search | Purpose::Kept => self.adopt(now, header),
@@ -692,7 +750,9 @@
             life: self.server.life(),
             is_open: true,
             server_seq: None,
+            answered_at: None,
             opening: None,
+            request: None,
             trail,
             work: Work::Idle,
             caller_next: next,
@@ -724,6 +784,7 @@
         flow.server_ended |= header.flags.is_ending();
         if flow.server_seq.is_none() {
             flow.server_seq = Some(header.seq);
+            flow.answered_at = Some(now);
             let trail = flow.trail;
             self.tell_keepers(key);
             self.tell_balancer(key, trail);
@@ -733,14 +794,25 @@
             self.expected.push_back((until, key));
             self.set_expected_until(key, until);
         }
+        if header.len > 0 {
+            self.on_answer(now, key);
+        }
         if header.flags.is_ending() {
             self.end(now, key);
-        } else if header.len > 0 {
-            self.set_work(key, Work::Idle);
         }
         Fate::Return
     }
 
+    /// The first bytes of an answer: the server is done with the request.
+    fn on_answer(&mut self, now: Instant, key: FlowKey) {
+        let work = self.flows.get(&key).map(|f| f.work);
+        if let Some(Work::Running { since, among, .. }) = work {
+            let took = now.saturating_duration_since(since);
+            self.work.on_done(took, among, self.slots());
+        }
+        self.set_work(key, Work::Idle);
+    }
+
     fn set_expected_until(&mut self, key: FlowKey, deadline: Instant) {
         if let Some(Work::Expected { until }) = self.flows.get_mut(&key).map(|f| &mut f.work) {
             *until = deadline;
@@ -756,6 +828,10 @@
             ..Decision::new(Step::Bounced, key, self.map.index)
         });
         if !header.flags.is_opening() {
+            // A server forgets no flow that it has answered and not ended: it started anew.
+            if let Some(flow) = removed.filter(|f| f.server_seq.is_some() && !f.server_ended) {
+                self.break_off(key, &flow);
+            }
             return Fate::Drop;
         }
         let trail = Trail {
@@ -772,6 +848,9 @@
             return;
         };
         let before = std::mem::replace(&mut flow.work, work);
+        if !work.counts() {
+            flow.request = None;
+        }
         if before.counts() && !work.counts() {
             self.busy -= 1;
         } else if !before.counts() && work.counts() {
@@ -839,7 +918,7 @@
         if self.farewell_at.is_some_and(|at| at <= now) {
             self.farewell_at = None;
             if self.server.statement().is_none() {
-                self.end_flows(|life, current| life <= current);
+                self.end_flows(|_| true);
             }
         }
         if self.server.take_port_check(now) {
@@ -874,7 +953,8 @@
                 continue;
             };
             let until = now + REDIRECT_TTL;
-            self.redirects.insert(key, Redirect { to, until });
+            let copy = 0;
+            self.redirects.insert(key, Redirect { to, copy, until });
             let trail = Trail {
                 hops: trail.hops + 1,
                 purpose: Purpose::Placed,
@@ -891,7 +971,7 @@
             self.expected.pop_front();
             let flow = self.flows.get(&key);
             let over = flow.is_some_and(|f| match f.work {
-                Work::Expected { until } | Work::Running { until } => until <= now,
+                Work::Expected { until } | Work::Running { until, .. } => until <= now,
                 Work::Idle => false,
             });
             if over {
@@ -921,7 +1001,7 @@
             self.remove(key);
         }
         let stuck = self.flows.iter().filter(|(_, f)| match f.work {
-            Work::Running { until } | Work::Expected { until } => until <= now,
+            Work::Running { until, .. } | Work::Expected { until } => until <= now,
             Work::Idle => false,
         });
         for key in stuck.map(|(key, _)| *key).collect::<Vec<_>>() {
--- a/crates/core/src/forwarded/mesh.rs
+++ b/crates/core/src/forwarded/mesh.rs
@@ -61,6 +61,8 @@
     pub cold: bool,
     /// Requests that it works on or is about to get.
     pub busy: u32,
+    /// Time that it takes for one, once that was measured.
+    pub work: Option<Duration>,
     /// Flows that end at it.
     pub flows: u32,
     /// Requests that it works on at once.
--- a/crates/core/src/forwarded/placement.rs
+++ b/crates/core/src/forwarded/placement.rs
@@ -1,10 +1,14 @@
 //! Which backend server gets a new flow.
 //!
-//! Two candidates are drawn and the less loaded one is taken: reports are some tens of milliseconds
-//! old, and balancers that all took the least loaded server would flood it between two reports. What
-//! this node has sent since a report counts on top of it.
+//! Two candidates are drawn and the one is taken that would be done earlier: reports are some tens of
+//! milliseconds old, and balancers that all took the best server would flood it between two reports.
+//! What this node has sent since a report counts on top of it.
+//!
+//! When a server would be done follows from its requests, its slots and the time that it takes for a
+//! request, which its agent measures. So a server that turned slow gets fewer flows by itself.
 
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 use rand::Rng;
 use rand::seq::IteratorRandom;
@@ -12,14 +16,18 @@
 use super::mesh::HeardReport;
 use crate::ids::AvailabilityZone;
 
-/// Load that an open flow without a request adds, in requests: a flow that stays open asks about
-/// once a second and is worked on for some 15 ms.
-const IDLE_FLOW_LOAD: f64 = 0.02;
-/// Load, in full servers, by which one in the own zone is preferred; spares bytes between zones
-/// without letting a queue form.
-const ZONE_PREFERENCE: f64 = 0.25;
-/// Speed of a server that has just started.
-const COLD_SPEED: f64 = 0.6;
+/// Time for a request at a server that has not been measured: that of quick checks and orders.
+const USUAL_WORK: Duration = Duration::from_millis(15);
+/// How much longer a server that has just started takes, while that is not measured.
+const COLD_FACTOR: f64 = 1.6;
+/// Share of a new measurement in the mean: about the last ten requests count.
+const NEWEST_SHARE: f64 = 0.1;
+/// Flows without a request that weigh as much as a request: a flow that stays open asks about once a
+/// second and is worked on for some 15 ms.
+const FLOWS_PER_REQUEST: u32 = 50;
+/// Time by which a server in another zone must be done earlier: the way there and back, and the price
+/// of bytes between zones.
+const ZONE_PREFERENCE: Duration = Duration::from_millis(4);
 
 /// A server that may be chosen.
 #[derive(Clone, Copy, Debug)]
@@ -30,18 +38,60 @@
     pub heard: &'a HeardReport,
 }
 
-/// Load of a server in full servers: at 1 all its slots are taken.
-pub fn load(heard: &HeardReport) -> f64 {
+/// The time that a server takes for a request, as its agent measures it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WorkTime {
+    mean: Option<Duration>,
+}
+
+impl WorkTime {
+    /// A request took that long, queued among `among` requests before `slots`.
+    pub fn on_done(&mut self, took: Duration, among: u32, slots: u32) {
+        let rounds = among.div_ceil(slots.max(1)).max(1);
+        let newest = took / rounds;
+        self.mean = Some(self.mean.map_or(newest, |mean| {
+            mean.mul_f64(1.0 - NEWEST_SHARE) + newest.mul_f64(NEWEST_SHARE)
+        }));
+    }
+
+    /// The mean, once there is one.
+    pub const fn measured(self) -> Option<Duration> {
+        self.mean
+    }
+
+    /// The mean, or what is usual.
+    pub fn time(self) -> Duration {
+        self.mean.unwrap_or(USUAL_WORK)
+    }
+}
+
+/// When a request would be done at a server with `busy` others, each of which takes `work`.
+pub fn completion(work: Duration, busy: u32, slots: u32) -> Duration {
+    work + work.saturating_mul(busy) / slots.max(1)
+}
+
+/// When a request would be done at a server, as far as is known of it.
+pub fn expected(heard: &HeardReport) -> Duration {
     let report = &heard.report;
-    let speed = if report.cold { COLD_SPEED } else { 1.0 };
-    let requests = f64::from(report.busy) + f64::from(heard.sent_since);
-    let flows = f64::from(report.flows) * IDLE_FLOW_LOAD;
-    (requests + flows) / (f64::from(report.slots.max(1)) * speed)
+    let work = report.work.unwrap_or_else(|| {
+        if report.cold {
+            USUAL_WORK.mul_f64(COLD_FACTOR)
+        } else {
+            USUAL_WORK
+        }
+    });
+    let idle_flows = work.saturating_mul(report.flows) / FLOWS_PER_REQUEST / report.slots.max(1);
+    completion(work, report.busy + heard.sent_since, report.slots) + idle_flows
 }
 
-fn cost(candidate: &Candidate<'_>, zone: &AvailabilityZone) -> f64 {
+fn cost(candidate: &Candidate<'_>, zone: &AvailabilityZone) -> Duration {
     let away = candidate.heard.report.zone != *zone;
-    load(candidate.heard) + if away { ZONE_PREFERENCE } else { 0.0 }
+    let way = if away {
+        ZONE_PREFERENCE
+    } else {
+        Duration::ZERO
+    };
+    expected(candidate.heard) + way
 }
 
 /// Chooses among `candidates` for a node in `zone`.
@@ -51,7 +101,5 @@
     zone: &AvailabilityZone,
 ) -> Option<Candidate<'a>> {
     let drawn = candidates.choose_multiple(rng, 2);
-    drawn
-        .into_iter()
-        .min_by(|a, b| cost(a, zone).total_cmp(&cost(b, zone)))
+    drawn.into_iter().min_by_key(|c| cost(c, zone))
 }
--- a/crates/core/src/forwarded/server.rs
+++ b/crates/core/src/forwarded/server.rs
@@ -129,6 +129,11 @@
         }
     }
 
+    /// Longest time between two reports of a server in good order.
+    pub const fn report_interval(&self) -> Duration {
+        self.report_interval
+    }
+
     /// The life that is current, or was last.
     pub const fn life(&self) -> Life {
         self.life
--- /dev/null
+++ b/crates/core/tests/testsuite/forwarded.rs
@@ -0,0 +1,10 @@
+//! Forwarded flows: placement, the gate, keepers, and whole fleets under faults.
+
+mod faults;
+mod gate;
+mod keepers;
+mod load;
+mod mesh;
+mod placing;
+mod servers;
+mod world;
--- /dev/null
+++ b/crates/core/tests/testsuite/forwarded/faults.rs
@@ -0,0 +1,175 @@
+//! Flows stay whole while nodes and servers come and go; what cannot stay is told at once.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use dogwoodrill_core::forwarded::decision::Step;
+use dogwoodrill_core::forwarded::packet::FlowKey;
+use rstest::rstest;
+
+use super::world::{Change, ORDERS_ADDRESS, Outcome, World, agent_ip};
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Calls that are open at servers, whose answers take a second.
+fn open_calls(world: &mut World, count: usize) -> Vec<FlowKey> {
+    // Two at one server wait for each other; that is none of the faults.
+    world.limit = Duration::from_secs(4);
+    let flows = (0..count).map(|_| world.call(Duration::ZERO, ORDERS_ADDRESS, 1000 * MS));
+    let flows = flows.collect();
+    world.run_for(50 * MS);
+    flows
+}
+
+fn all_answered(world: &World) {
+    let only = BTreeMap::from([(Some(Outcome::Answered), world.callers.len())]);
+    assert_eq!(world.outcomes(), only);
+}
+
+#[rstest]
+#[case::added(&[Change::AddBalancer])]
+#[case::removed(&[Change::RemoveBalancer(0)])]
+#[case::all_replaced(&[Change::AddBalancer, Change::AddBalancer, Change::RemoveBalancer(0), Change::RemoveBalancer(1), Change::RemoveBalancer(2)])]
+fn balancers_change_under_open_flows(#[case] changes: &[Change], #[values(1, 2, 3)] seed: u64) {
+    let mut world = World::new(seed, 7, 3, 3);
+    open_calls(&mut world, 14);
+    for (n, change) in changes.iter().enumerate() {
+        world.at(u32::try_from(n).unwrap() * 10 * MS, *change);
+    }
+    world.run_for(Duration::from_secs(5));
+    all_answered(&world);
+    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+    assert!(
+        world.steps.contains_key(&(Step::AskedKeeper, None)),
+        "no flow had to be found"
+    );
+}
+
+/// The restarted agent has no memory; its server has, and the keepers know who holds what.
+#[rstest]
+fn an_agent_restarts_with_open_flows(#[values(1, 2, 3, 4)] seed: u64) {
+    let mut world = World::new(seed, 7, 3, 3);
+    let flows = open_calls(&mut world, 14);
+    let holder = world.holder(flows[0]).unwrap();
+    world.at(Duration::ZERO, Change::KillAgent(holder));
+    world.at(200 * MS, Change::StartAgent(holder));
+    world.at(210 * MS, Change::RemoveBalancer(0));
+    world.run_for(Duration::from_secs(5));
+    all_answered(&world);
+    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+}
+
+#[rstest]
+#[case::first(true, false)]
+#[case::second(false, true)]
+#[case::both(true, true)]
+fn a_flow_is_found_without_its_keepers(
+    #[case] first: bool,
+    #[case] second: bool,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut world = World::new(seed, 7, 3, 2);
+    let flow = open_calls(&mut world, 1)[0];
+    let holder = world.holder(flow).unwrap();
+    let keepers = world.agent(holder).mesh().ring().keepers(flow);
+    let lost = [(keepers.first, first), (keepers.second, second)];
+    let lost = lost.into_iter().filter(|(_, lost)| *lost);
+    for ip in lost
+        .filter_map(|(ip, _)| ip)
+        .filter(|ip| *ip != agent_ip(holder))
+    {
+        let n = (0..10).find(|n| agent_ip(*n) == ip).unwrap();
+        world.at(Duration::ZERO, Change::KillAgent(n));
+    }
+    world.at(10 * MS, Change::AddBalancer);
+    world.at(10 * MS, Change::RemoveBalancer(0));
+    world.at(10 * MS, Change::RemoveBalancer(1));
+    world.run_for(Duration::from_secs(5));
+    all_answered(&world);
+    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+}
+
+/// Nothing but the servers knows the flows then.
+#[rstest]
+fn flows_are_found_after_all_agents_and_balancers_restarted(#[values(1, 2, 3)] seed: u64) {
+    let mut world = World::new(seed, 7, 3, 2);
+    open_calls(&mut world, 14);
+    for n in 0..10 {
+        world.at(Duration::ZERO, Change::KillAgent(n));
+        world.at(100 * MS, Change::StartAgent(n));
+    }
+    world.at(Duration::ZERO, Change::RemoveBalancer(0));
+    world.at(Duration::ZERO, Change::RemoveBalancer(1));
+    world.at(100 * MS, Change::AddBalancer);
+    world.run_for(Duration::from_secs(5));
+    all_answered(&world);
+    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+}
+
+/// The frozen server answers late; whichever answer the caller took, the flow is that server's alone.
+#[rstest]
+#[case::wakes_soon(90)]
+#[case::wakes_late(400)]
+fn an_opening_is_offered_to_two_servers(#[case] wakes_after: u32, #[values(1, 2, 3)] seed: u64) {
+    let mut world = World::new(seed, 3, 0, 2);
+    world.at(Duration::ZERO, Change::FreezeServer(0, true));
+    world.at(wakes_after * MS, Change::FreezeServer(0, false));
+    for n in 0..30 {
+        world.call(n * 5 * MS, ORDERS_ADDRESS, 10 * MS);
+    }
+    world.run_for(Duration::from_secs(4));
+    all_answered(&world);
+    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+    assert!(
+        world.steps.contains_key(&(Step::Unanswered, None)),
+        "the server was not missed"
+    );
+}
+
+/// A caller need not wait for its deadline where the server's end is known.
+#[rstest]
+#[case::port_closed(&[])]
+#[case::new_life(&[(100, Change::StartServer(0))])]
+fn callers_are_told_of_a_server_that_is_gone(
+    #[case] after: &[(u32, Change)],
+    #[values(1, 2)] seed: u64,
+) {
+    let mut world = World::new(seed, 2, 0, 2);
+    let flows = open_calls(&mut world, 4);
+    let there = flows
+        .iter()
+        .filter(|f| world.holder(**f) == Some(0))
+        .count();
+    world.at(Duration::ZERO, Change::CrashServer(0));
+    for (ms, change) in after {
+        world.at(*ms * MS, *change);
+    }
+    world.run_for(Duration::from_secs(5));
+    assert!(there > 0, "no flow was at the server");
+    assert_eq!(
+        world.outcomes().get(&Some(Outcome::BrokenOff)),
+        Some(&there)
+    );
+    assert_eq!(world.outcomes().get(&Some(Outcome::GaveUp)), None);
+    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+}
+
+/// Every agent is full and has passed packets on; none of them may go round between two of them.
+#[test]
+fn redirections_form_no_ring() {
+    let mut world = World::new(5, 3, 0, 2);
+    for n in 0..3 {
+        world.at(Duration::ZERO, Change::SlowServer(n, 40));
+    }
+    world.calls(Duration::from_secs(2), 300.0, ORDERS_ADDRESS);
+    world.run_for(Duration::from_secs(5));
+    let steps = &world.steps;
+    let judged: u32 = steps.iter().map(|(_, count)| count).sum();
+    let calls = u32::try_from(world.callers.len()).unwrap();
+    // A placement and at most three hops, a refusal or an acceptance, for each of three copies.
+    assert!(
+        judged < calls * 3 * 6,
+        "{judged} decisions for {calls} calls: {steps:?}"
+    );
+    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+}
--- /dev/null
+++ b/crates/core/tests/testsuite/forwarded/load.rs
@@ -0,0 +1,118 @@
+//! How work waits, is refused and is placed: recorded patterns of load against whole fleets.
+
+use std::time::Duration;
+
+use insta::assert_snapshot;
+use rstest::rstest;
+
+use super::world::{Change, ORDERS_ADDRESS, Outcome, World};
+
+const MS: Duration = Duration::from_millis(1);
+/// Requests a second that seven servers of two slots work off, at 15 ms each.
+const CAPACITY: f64 = 7.0 * 2.0 / 0.015;
+const TARGET: Duration = Duration::from_millis(100);
+
+#[rstest]
+#[case::usual(0.5, 0.995)]
+#[case::high(0.7, 0.99)]
+#[case::near_the_limit(0.85, 0.97)]
+fn most_calls_are_served_in_time(
+    #[case] load: f64,
+    #[case] share: f64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut world = World::new(seed, 7, 0, 4);
+    world.calls(Duration::from_secs(4), load * CAPACITY, ORDERS_ADDRESS);
+    world.run_for(Duration::from_secs(7));
+    let served = world.served_within(TARGET);
+    assert!(
+        served >= share,
+        "{served} served in time, {:?}",
+        world.outcomes()
+    );
+    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+}
+
+/// Beyond what the servers can do the rest is told at once, and those who are served are in time.
+#[rstest]
+#[case::burst(1.3)]
+#[case::flood(2.0)]
+fn overload_is_refused_at_once(#[case] load: f64, #[values(1, 2)] seed: u64) {
+    let mut world = World::new(seed, 7, 0, 4);
+    world.calls(Duration::from_secs(3), load * CAPACITY, ORDERS_ADDRESS);
+    world.run_for(Duration::from_secs(6));
+    let outcomes = world.outcomes();
+    let gave_up = outcomes.get(&Some(Outcome::GaveUp)).copied().unwrap_or(0);
+    assert_eq!(gave_up, 0, "{outcomes:?}");
+    let served = world.served_within(TARGET);
+    assert!(
+        served * load >= 0.9,
+        "{served} of the calls, at {load} of capacity, in time"
+    );
+}
+
+/// A server five times as slow gets fewer flows by itself.
+#[rstest]
+fn a_slow_server_is_spared(#[values(1, 2, 3)] seed: u64) {
+    let mut world = World::new(seed, 7, 0, 4);
+    world.at(Duration::ZERO, Change::SlowServer(0, 5));
+    world.calls(Duration::from_secs(4), 0.5 * CAPACITY, ORDERS_ADDRESS);
+    world.run_for(Duration::from_secs(6));
+    let served = world.served_within(TARGET);
+    assert!(served >= 0.93, "{served} served in time");
+    let by_slow = world.servers[0].worked;
+    let by_others: u64 = world.servers[1..].iter().map(|s| s.worked).sum();
+    assert!(
+        by_slow * 6 * 3 < by_others,
+        "{by_slow} by the slow server, {by_others} by the others"
+    );
+}
+
+/// Servers are replaced one after the other while calls go on.
+#[rstest]
+fn a_release_is_not_noticed(#[values(1, 2)] seed: u64) {
+    let mut world = World::new(seed, 7, 0, 4);
+    for n in 0..3 {
+        let at = u32::try_from(n).unwrap() * 1000 * MS;
+        world.at(at, Change::Drain(n));
+        world.at(at + 800 * MS, Change::StartServer(n));
+    }
+    world.calls(Duration::from_secs(4), 0.5 * CAPACITY, ORDERS_ADDRESS);
+    world.run_for(Duration::from_secs(6));
+    let served = world.served_within(TARGET);
+    assert!(
+        served >= 0.98,
+        "{served} served in time, {:?}",
+        world.outcomes()
+    );
+    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+}
+
+/// Packets from one zone to another get lost, the other way they pass.
+#[rstest]
+fn a_one_way_cut_is_noticed(#[values(1, 2)] seed: u64) {
+    let mut world = World::new(seed, 7, 0, 6);
+    world.at(Duration::ZERO, Change::CutOneWay { from: 0, to: 1 });
+    world.run_for(1800 * MS);
+    world.calls(Duration::from_secs(2), 0.4 * CAPACITY, ORDERS_ADDRESS);
+    world.run_for(Duration::from_secs(5));
+    let served = world.served_within(TARGET);
+    assert!(
+        served >= 0.99,
+        "{served} served in time, {:?}",
+        world.outcomes()
+    );
+}
+
+/// What each server gets of an even load; the differences are those of two random choices.
+#[test]
+fn work_is_spread_evenly() {
+    let mut world = World::new(1, 7, 0, 4);
+    world.calls(Duration::from_secs(4), 0.6 * CAPACITY, ORDERS_ADDRESS);
+    world.run_for(Duration::from_secs(6));
+    let worked = world.servers.iter().map(|s| s.worked);
+    let mean = worked.clone().sum::<u64>() / 7;
+    let busiest = worked.max().unwrap() * 100 / mean;
+    let longest = world.servers.iter().map(|s| s.longest_queue).max().unwrap();
+    assert_snapshot!(format!("busiest server: {busiest}% of the mean; longest queue: {longest}"), @"busiest server: 104% of the mean; longest queue: 6");
+}
--- /dev/null
+++ b/crates/core/tests/testsuite/forwarded/mesh.rs
@@ -0,0 +1,136 @@
+//! What a node knows of the others, and when it no longer trusts that.
+
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+use dogwoodrill_core::forwarded::mesh::{
+    Boot, GREETING_INTERVAL, Greeting, Mesh, News, NodeAddress, ServerReport,
+};
+use dogwoodrill_core::forwarded::node::NodeRole;
+use dogwoodrill_core::forwarded::service_map::ServiceLabel;
+use dogwoodrill_core::ids::LogIndex;
+use rstest::rstest;
+
+const OWN: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
+const AGENT: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 2);
+
+fn balancer() -> Mesh {
+    Mesh::new(NodeAddress {
+        ip: OWN,
+        role: NodeRole::Balancer,
+    })
+}
+
+fn greeting(boot: u64, heard: Option<Duration>) -> Greeting {
+    Greeting {
+        boot: Boot::new(boot),
+        role: NodeRole::Agent,
+        index: LogIndex::new(1),
+        heard,
+        report: Some(ServerReport {
+            service: "orders".into(),
+            zone: "north".parse().unwrap(),
+            open: true,
+            cold: false,
+            busy: 0,
+            work: None,
+            flows: 0,
+            slots: 2,
+        }),
+    }
+}
+
+fn is_open(mesh: &Mesh, now: Instant) -> bool {
+    let orders = ServiceLabel::from("orders");
+    mesh.open_agents(now, &orders).next().is_some()
+}
+
+#[test]
+fn a_silent_agent_is_lost_after_some_greetings() {
+    let start = Instant::now();
+    let mut mesh = balancer();
+    mesh.on_greeting(start, AGENT, greeting(1, None));
+    assert!(is_open(&mesh, start + GREETING_INTERVAL * 3));
+    assert!(!is_open(&mesh, start + GREETING_INTERVAL * 4));
+    assert!(!mesh.is_live(start + GREETING_INTERVAL * 4, AGENT));
+}
+
+/// An agent that is heard but does not hear this node gets no flows from it.
+#[rstest]
+#[case::never_heard(None)]
+#[case::heard_long_ago(Some(Duration::from_secs(3)))]
+fn an_agent_that_hears_nothing_gets_nothing(#[case] heard: Option<Duration>) {
+    let start = Instant::now();
+    let mut mesh = balancer();
+    for n in 0..20 {
+        mesh.on_greeting(start + GREETING_INTERVAL * n, AGENT, greeting(1, heard));
+    }
+    let now = start + GREETING_INTERVAL * 19;
+    assert!(mesh.is_live(now, AGENT));
+    assert!(!is_open(&mesh, now));
+    mesh.on_greeting(now, AGENT, greeting(1, Some(Duration::from_millis(5))));
+    assert!(is_open(&mesh, now));
+}
+
+#[test]
+fn a_restart_is_told_from_a_pause() {
+    let start = Instant::now();
+    let mut mesh = balancer();
+    let first = mesh.on_greeting(start, AGENT, greeting(1, None));
+    let again = mesh.on_greeting(start + GREETING_INTERVAL, AGENT, greeting(1, None));
+    let restarted = mesh.on_greeting(start + GREETING_INTERVAL * 2, AGENT, greeting(2, None));
+    let news = |is_new, restarted| News { is_new, restarted };
+    assert_eq!(
+        [first, again, restarted],
+        [news(true, false), news(false, false), news(false, true)]
+    );
+}
+
+/// An agent that starts anew has forgotten what it kept, so the flows must be told again.
+#[test]
+fn the_ring_changes_with_agents_and_their_lives() {
+    let start = Instant::now();
+    let mut mesh = balancer();
+    let mut versions = vec![mesh.ring_version()];
+    let mut note = |mesh: &Mesh| versions.push(mesh.ring_version());
+    mesh.on_greeting(start, AGENT, greeting(1, None));
+    note(&mesh);
+    mesh.on_greeting(start + GREETING_INTERVAL, AGENT, greeting(1, None));
+    note(&mesh);
+    mesh.on_greeting(start + GREETING_INTERVAL, AGENT, greeting(2, None));
+    note(&mesh);
+    mesh.on_tick(start + GREETING_INTERVAL * 10);
+    note(&mesh);
+    assert_eq!(versions, [0, 1, 1, 2, 3]);
+}
+
+#[test]
+fn greetings_slow_down_with_the_number_of_nodes() {
+    let start = Instant::now();
+    let mut mesh = balancer();
+    for n in 0..250_u32 {
+        let ip = Ipv4Addr::from_bits(AGENT.to_bits() + n);
+        mesh.learn(
+            start,
+            NodeAddress {
+                ip,
+                role: NodeRole::Agent,
+            },
+        );
+    }
+    assert_eq!(mesh.greeting_interval(), Duration::from_secs(1));
+    assert_eq!(mesh.due(start).len(), 250);
+    assert_eq!(mesh.due(start + Duration::from_millis(999)).len(), 0);
+    assert_eq!(mesh.due(start + Duration::from_secs(1)).len(), 250);
+}
+
+#[test]
+fn a_node_that_is_gone_is_forgotten() {
+    let start = Instant::now();
+    let mut mesh = balancer();
+    mesh.on_greeting(start, AGENT, greeting(1, None));
+    mesh.on_tick(start + Duration::from_secs(29));
+    assert!(mesh.get(AGENT).is_some());
+    mesh.on_tick(start + Duration::from_secs(31));
+    assert!(mesh.get(AGENT).is_none());
+}
--- /dev/null
+++ b/crates/core/tests/testsuite/forwarded/servers.rs
@@ -0,0 +1,117 @@
+//! One backend server as its agent knows it: lives, reports and silence.
+
+use std::time::{Duration, Instant};
+
+use dogwoodrill_core::forwarded::server::{
+    Closed, Server, ServerState, ServerStatement, StatementOutcome,
+};
+use dogwoodrill_core::ids::Sequence;
+use dogwoodrill_core::time::UnixMillis;
+use rstest::rstest;
+
+const INTERVAL: Duration = Duration::from_secs(1);
+
+fn statement(id: &str, born: u64, sequence: u64) -> ServerStatement {
+    ServerStatement {
+        id: id.into(),
+        born: UnixMillis::new(born),
+        sequence: Sequence::from(sequence),
+        service: "orders".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: "north".parse().unwrap(),
+        slots: 2,
+        state: ServerState::Ready,
+        cold_remaining: Duration::ZERO,
+    }
+}
+
+fn draining(statement: ServerStatement) -> ServerStatement {
+    let state = ServerState::Draining;
+    ServerStatement { state, ..statement }
+}
+
+#[rstest]
+#[case::next(statement("a", 10, 6), StatementOutcome::Unchanged)]
+#[case::same_again(statement("a", 10, 5), StatementOutcome::Stale)]
+#[case::delayed(draining(statement("a", 10, 4)), StatementOutcome::Stale)]
+#[case::drains(draining(statement("a", 10, 6)), StatementOutcome::Changed)]
+#[case::started_again_under_its_id(statement("a", 11, 1), StatementOutcome::NewLife)]
+#[case::another_server(statement("b", 11, 1), StatementOutcome::NewLife)]
+#[case::an_earlier_server(statement("b", 9, 70), StatementOutcome::Stale)]
+#[case::an_earlier_life(statement("a", 9, 70), StatementOutcome::Stale)]
+fn reports_are_taken_in_order(
+    #[case] statement_: ServerStatement,
+    #[case] expected: StatementOutcome,
+) {
+    let now = Instant::now();
+    let mut server = Server::new(now, INTERVAL);
+    server.on_statement(now, statement("a", 10, 5));
+    assert_eq!(server.on_statement(now, statement_), expected);
+}
+
+#[test]
+fn a_report_that_was_on_its_way_does_not_bring_a_server_back() {
+    let now = Instant::now();
+    let mut server = Server::new(now, INTERVAL);
+    server.on_statement(now, statement("a", 10, 5));
+    assert!(!server.on_leave("b"));
+    assert!(server.on_leave("a"));
+    assert_eq!(
+        server.on_statement(now, statement("a", 10, 6)),
+        StatementOutcome::Stale
+    );
+    assert_eq!(server.closed(now), Some(Closed::Gone));
+    assert_eq!(
+        server.on_statement(now, statement("a", 12, 1)),
+        StatementOutcome::NewLife
+    );
+    assert_eq!(server.closed(now), None);
+}
+
+#[test]
+fn a_server_that_misses_reports_is_silent() {
+    let now = Instant::now();
+    let mut server = Server::new(now, INTERVAL);
+    assert_eq!(server.closed(now), Some(Closed::Gone));
+    server.on_statement(now, statement("a", 10, 1));
+    let after = |ms| now + Duration::from_millis(ms);
+    assert_eq!(server.closed(after(2500)), None);
+    assert_eq!(server.closed(after(2501)), Some(Closed::Silent));
+    assert!(!server.take_port_check(after(1500)));
+    assert!(server.take_port_check(after(1501)));
+    assert!(
+        !server.take_port_check(after(1502)),
+        "checked twice at once"
+    );
+    assert!(server.take_port_check(after(2001)));
+}
+
+#[test]
+fn a_server_that_does_not_answer_gets_a_trial_now_and_then() {
+    let now = Instant::now();
+    let mut server = Server::new(now, INTERVAL);
+    server.on_statement(now, statement("a", 10, 1));
+    assert!(server.on_unanswered(now));
+    assert!(!server.on_unanswered(now));
+    assert_eq!(server.closed(now), Some(Closed::Silent));
+    let after = |ms| now + Duration::from_millis(ms);
+    let trials = [0, 100, 250, 300, 499, 500].map(|ms| server.take_trial(after(ms)));
+    assert_eq!(trials, [false, false, true, false, false, true]);
+    server.on_packet();
+    assert_eq!(server.closed(now), None);
+}
+
+#[rstest]
+#[case::started_beside_the_agent(1, false)]
+#[case::was_there_before(40, true)]
+fn flows_may_be_open_that_the_agent_has_not_seen(#[case] sequence: u64, #[case] older: bool) {
+    let now = Instant::now();
+    let mut server = Server::new(now, INTERVAL);
+    assert!(server.is_older(), "nothing is known yet");
+    server.on_statement(now, statement("a", 10, sequence));
+    assert_eq!(server.is_older(), older);
+    server.on_statement(now, statement("a", 10, sequence + 1));
+    assert_eq!(server.is_older(), older);
+    server.on_statement(now, statement("b", 11, 1));
+    assert!(!server.is_older());
+}
--- /dev/null
+++ b/crates/core/tests/testsuite/forwarded/world.rs
@@ -0,0 +1,1071 @@
+//! A fleet in fake time: balancers, agents, backend servers and callers, with messages that take time.
+//!
+//! Servers work on as many requests as they have slots, queue a few and hand back what they cannot
+//! take, as well as packets of flows that they do not hold. Callers open a flow, send one request and
+//! wait for its answer; they send copies of an opening packet and packets that were not acknowledged.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use dogwoodrill_core::config::Version;
+use dogwoodrill_core::forwarded::agent::{Action, Agent, Fate};
+use dogwoodrill_core::forwarded::balancer::{Balancer, Fate as BalancerFate};
+use dogwoodrill_core::forwarded::decision::{Decision, Reason, Step};
+use dogwoodrill_core::forwarded::keepers::FlowPlace;
+use dogwoodrill_core::forwarded::mesh::{Boot, Greeting, Mesh, NodeAddress};
+use dogwoodrill_core::forwarded::node::NodeRole;
+use dogwoodrill_core::forwarded::packet::{Flags, FlowKey, Header, Purpose, Trail};
+use dogwoodrill_core::forwarded::server::{ServerState, ServerStatement};
+use dogwoodrill_core::forwarded::service_map::{
+    RequestRate, Route, RouteTable, ServiceLabel, ServiceMap, ServiceTerms, Target, Weight,
+};
+use dogwoodrill_core::ids::{AvailabilityZone, LogIndex, Sequence};
+use dogwoodrill_core::time::UnixMillis;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Between nodes.
+const HOP: Duration = Duration::from_micros(700);
+/// Between a caller and the system.
+const CALLER_HOP: Duration = Duration::from_millis(3);
+/// Between an agent and its server.
+const LOCAL_HOP: Duration = Duration::from_micros(50);
+const AGENT_TICK: Duration = Duration::from_millis(20);
+const BALANCER_TICK: Duration = Duration::from_millis(50);
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+const MAX_FLOW_AGE: Duration = Duration::from_secs(60);
+const COPIES: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(600)];
+const OPENING_LIMIT: Duration = Duration::from_millis(1400);
+const RESEND: Duration = Duration::from_millis(200);
+const SERVER_QUEUE: usize = 8;
+
+pub const ORDERS: &str = "orders";
+pub const SHEETS: &str = "sheets";
+pub const ORDERS_ADDRESS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+pub const SHEETS_ADDRESS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443);
+
+#[derive(Debug)]
+enum Event {
+    BalancerTick(usize),
+    AgentTick(usize, u32),
+    Report(usize, u64),
+    ToBalancer(usize, Header),
+    ToAgent(usize, Ipv4Addr, Header),
+    ToServer(usize, Header),
+    FromServer(usize, Header),
+    ToCaller(Header),
+    Reset(FlowKey),
+    Greeting(Ipv4Addr, Ipv4Addr, Box<Greeting>, Vec<FlowPlace>),
+    Done(usize, FlowKey, u64),
+    Caller(FlowKey, CallerTimer),
+    Call(FlowKey),
+    Change(Change),
+}
+
+#[derive(Clone, Copy, Debug)]
+enum CallerTimer {
+    Copy(u32),
+    GiveUpOpening,
+    Resend,
+    Deadline,
+}
+
+/// What a test does to the fleet.
+#[derive(Clone, Copy, Debug)]
+pub enum Change {
+    KillAgent(usize),
+    StartAgent(usize),
+    CrashServer(usize),
+    FreezeServer(usize, bool),
+    StartServer(usize),
+    Drain(usize),
+    SlowServer(usize, u32),
+    AddBalancer,
+    RemoveBalancer(usize),
+    CutOneWay { from: usize, to: usize },
+}
+
+struct Node<T> {
+    ip: Ipv4Addr,
+    boot: Boot,
+    core: Option<T>,
+    life: u32,
+    last_open: bool,
+    report_from: Instant,
+}
+
+pub struct Server {
+    pub service: ServiceLabel,
+    pub zone: AvailabilityZone,
+    life: u64,
+    sequence: u64,
+    is_up: bool,
+    is_frozen: bool,
+    state: ServerState,
+    slowness: u32,
+    cold_until: Instant,
+    flows: HashMap<FlowKey, ServerFlow>,
+    running: BTreeSet<FlowKey>,
+    queue: VecDeque<FlowKey>,
+    pub openings: Vec<Instant>,
+    pub worked: u64,
+    pub longest_queue: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ServerFlow {
+    seq: u32,
+    is_open: bool,
+    is_done: bool,
+}
+
+pub struct Caller {
+    pub started_at: Instant,
+    pub outcome: Option<Outcome>,
+    pub answered_at: Option<Instant>,
+    work: Duration,
+    is_open: bool,
+    server_seq: u32,
+    holder: Option<usize>,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Outcome {
+    Answered,
+    /// Told at once, before the flow was open.
+    Refused,
+    /// Told that the flow's server is gone.
+    BrokenOff,
+    GaveUp,
+}
+
+/// Breaches of what must always hold.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Breach {
+    /// A server got an opening packet that it must not get.
+    Barred(String),
+    /// A flow that is open at a living server was reset.
+    ResetWhileOpen,
+    /// A packet of an open flow reached another server.
+    ElsewhereWhileOpen,
+}
+
+pub struct World {
+    pub now: Instant,
+    pub rng: StdRng,
+    events: BinaryHeap<Reverse<(Instant, u64)>>,
+    payloads: HashMap<u64, Event>,
+    next_event: u64,
+    agents: Vec<Node<Agent>>,
+    pub servers: Vec<Server>,
+    balancers: Vec<Node<Balancer>>,
+    pub callers: BTreeMap<FlowKey, Caller>,
+    pub map: Arc<ServiceMap>,
+    /// The configuration that each agent is given instead, to make it stale.
+    pub stale: BTreeMap<usize, Arc<ServiceMap>>,
+    /// Balancers keep the configuration that they have.
+    pub balancers_are_stale: bool,
+    pub breaches: BTreeMap<Breach, u32>,
+    pub steps: BTreeMap<(Step, Option<Reason>), u32>,
+    kept: HashMap<u64, Header>,
+    next_kept: u64,
+    cut: BTreeSet<(Ipv4Addr, Ipv4Addr)>,
+    next_port: u32,
+    /// Time that callers have.
+    pub limit: Duration,
+}
+
+pub fn route(service: &str) -> Route {
+    Route {
+        targets: vec![Target {
+            service: service.into(),
+            weight: Weight::new(1),
+        }],
+    }
+}
+
+pub fn map(index: u64, cold_rate: Option<f64>) -> ServiceMap {
+    let terms = ServiceTerms {
+        cold_rate: cold_rate.map(RequestRate::new),
+    };
+    ServiceMap {
+        index: LogIndex::new(index),
+        table: Some(Arc::new(RouteTable {
+            version: Version::new(index),
+            routes: [
+                (ORDERS_ADDRESS, route(ORDERS)),
+                (SHEETS_ADDRESS, route(SHEETS)),
+            ]
+            .into(),
+            services: [(ORDERS.into(), terms), (SHEETS.into(), terms)].into(),
+            idle_timeout: Duration::from_secs(15),
+        })),
+        zones_out: BTreeSet::new(),
+    }
+}
+
+pub fn zone(n: usize) -> AvailabilityZone {
+    ["north", "middle", "south"][n % 3].parse().unwrap()
+}
+
+pub fn agent_ip(n: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, 1, 0, u8::try_from(n).unwrap())
+}
+
+fn balancer_ip(n: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, 2, 0, u8::try_from(n).unwrap())
+}
+
+impl World {
+    /// A fleet of `orders` and `sheets` servers in three zones, and balancers, which has settled.
+    pub fn new(seed: u64, orders: usize, sheets: usize, balancers: usize) -> Self {
+        let start = Instant::now();
+        let mut world = Self {
+            now: start,
+            rng: StdRng::seed_from_u64(seed),
+            events: BinaryHeap::new(),
+            payloads: HashMap::new(),
+            next_event: 0,
+            agents: Vec::new(),
+            servers: Vec::new(),
+            balancers: Vec::new(),
+            callers: BTreeMap::new(),
+            map: Arc::new(map(1, None)),
+            stale: BTreeMap::new(),
+            balancers_are_stale: false,
+            breaches: BTreeMap::new(),
+            steps: BTreeMap::new(),
+            kept: HashMap::new(),
+            next_kept: 0,
+            cut: BTreeSet::new(),
+            next_port: 1,
+            limit: Duration::from_millis(1500),
+        };
+        for n in 0..orders + sheets {
+            world.servers.push(Server {
+                service: if n < orders { ORDERS } else { SHEETS }.into(),
+                zone: zone(n),
+                life: 1,
+                sequence: 0,
+                is_up: true,
+                is_frozen: false,
+                state: ServerState::Ready,
+                slowness: 1,
+                cold_until: start,
+                flows: HashMap::new(),
+                running: BTreeSet::new(),
+                queue: VecDeque::new(),
+                openings: Vec::new(),
+                worked: 0,
+                longest_queue: 0,
+            });
+            world.agents.push(node(agent_ip(n), start));
+            world.start_agent(n);
+            world.after(LOCAL_HOP, Event::Report(n, 1));
+        }
+        for _ in 0..balancers {
+            world.add_balancer();
+        }
+        world.run_for(Duration::from_secs(1));
+        world
+    }
+
+    pub fn set_map(&mut self, map: ServiceMap) {
+        self.map = Arc::new(map);
+        self.tell_map();
+    }
+
+    fn tell_map(&mut self) {
+        for n in 0..self.agents.len() {
+            let map = self.stale.get(&n).unwrap_or(&self.map);
+            if let Some(agent) = &mut self.agents[n].core {
+                agent.on_map(Arc::clone(map));
+            }
+        }
+        if self.balancers_are_stale {
+            return;
+        }
+        for balancer in &mut self.balancers {
+            if let Some(core) = &mut balancer.core {
+                core.on_map(Arc::clone(&self.map));
+            }
+        }
+    }
+
+    fn mesh(&self, own: NodeAddress) -> Mesh {
+        let mut mesh = Mesh::new(own);
+        for agent in self.agents.iter().filter(|a| a.ip != own.ip) {
+            let role = NodeRole::Agent;
+            mesh.learn(self.now, NodeAddress { ip: agent.ip, role });
+        }
+        mesh
+    }
+
+    fn start_agent(&mut self, n: usize) {
+        let ip = self.agents[n].ip;
+        let own = NodeAddress {
+            ip,
+            role: NodeRole::Agent,
+        };
+        let mesh = self.mesh(own);
+        let seed = self.rng.random();
+        let mut agent = Agent::new(self.now, mesh, REPORT_INTERVAL, MAX_FLOW_AGE, seed);
+        agent.on_map(Arc::clone(self.stale.get(&n).unwrap_or(&self.map)));
+        let node = &mut self.agents[n];
+        node.core = Some(agent);
+        node.boot = Boot::new(self.rng.random());
+        node.life += 1;
+        let life = node.life;
+        self.after(Duration::ZERO, Event::AgentTick(n, life));
+        let role = NodeRole::Agent;
+        for node in self.balancers.iter_mut() {
+            if let Some(core) = &mut node.core {
+                core.mesh_mut().learn(self.now, NodeAddress { ip, role });
+            }
+        }
+        for node in self.agents.iter_mut() {
+            if let Some(core) = &mut node.core {
+                core.mesh_mut().learn(self.now, NodeAddress { ip, role });
+            }
+        }
+    }
+
+    fn add_balancer(&mut self) {
+        let n = self.balancers.len();
+        let ip = balancer_ip(n);
+        let role = NodeRole::Balancer;
+        let mesh = self.mesh(NodeAddress { ip, role });
+        let seed = self.rng.random();
+        let mut balancer = Balancer::new(self.now, mesh, zone(n), seed);
+        balancer.on_map(Arc::clone(&self.map));
+        let mut node = node(ip, self.now);
+        node.core = Some(balancer);
+        node.boot = Boot::new(self.rng.random());
+        self.balancers.push(node);
+        for agent in &mut self.agents {
+            if let Some(core) = &mut agent.core {
+                core.mesh_mut().learn(self.now, NodeAddress { ip, role });
+            }
+        }
+        self.after(Duration::ZERO, Event::BalancerTick(n));
+    }
+
+    pub fn agent(&self, n: usize) -> &Agent {
+        self.agents[n].core.as_ref().unwrap()
+    }
+
+    /// The server that a caller's flow is open at.
+    pub fn holder(&self, flow: FlowKey) -> Option<usize> {
+        self.callers[&flow].holder
+    }
+
+    pub fn at(&mut self, after: Duration, change: Change) {
+        self.after(after, Event::Change(change));
+    }
+
+    fn after(&mut self, after: Duration, event: Event) {
+        self.next_event += 1;
+        let at = self.now + after;
+        self.events.push(Reverse((at, self.next_event)));
+        self.payloads.insert(self.next_event, event);
+    }
+
+    pub fn run_for(&mut self, span: Duration) {
+        let until = self.now + span;
+        while let Some(Reverse((at, id))) = self.events.peek().copied()
+            && at <= until
+        {
+            self.events.pop();
+            self.now = at;
+            if let Some(event) = self.payloads.remove(&id) {
+                self.on_event(event);
+            }
+        }
+        self.now = until;
+    }
+
+    /// A caller opens a flow after some time, whose request takes the server `work`.
+    pub fn call(&mut self, after: Duration, service: SocketAddrV4, work: Duration) -> FlowKey {
+        self.next_port += 1;
+        let [_, _, high, low] = self.next_port.to_be_bytes();
+        let client = Ipv4Addr::new(100, 64, high, low);
+        let flow = FlowKey {
+            caller: SocketAddrV4::new(client, 1000),
+            service,
+        };
+        let caller = Caller {
+            started_at: self.now + after,
+            outcome: None,
+            answered_at: None,
+            work,
+            is_open: false,
+            server_seq: 0,
+            holder: None,
+        };
+        self.callers.insert(flow, caller);
+        self.after(after, Event::Call(flow));
+        flow
+    }
+
+    /// Calls at random times, `per_second` on the mean for `span`; work spreads around 15 ms.
+    pub fn calls(&mut self, span: Duration, per_second: f64, service: SocketAddrV4) {
+        let mut at = 0.0;
+        while at < span.as_secs_f64() {
+            let gap: f64 = self.rng.random_range(1e-9..1.0);
+            at += -gap.ln() / per_second;
+            let work = self.rng.random_range(7.5..22.5);
+            let work = Duration::from_secs_f64(work / 1000.0);
+            self.call(Duration::from_secs_f64(at), service, work);
+        }
+    }
+
+    pub fn outcomes(&self) -> BTreeMap<Option<Outcome>, usize> {
+        let mut counts = BTreeMap::new();
+        for caller in self.callers.values() {
+            *counts.entry(caller.outcome).or_insert(0) += 1;
+        }
+        counts
+    }
+
+    /// Share of the calls that were answered within `target`.
+    pub fn served_within(&self, target: Duration) -> f64 {
+        let in_time = self
+            .callers
+            .values()
+            .filter(|c| c.answered_at.is_some_and(|at| at <= c.started_at + target));
+        let (served, all) = (in_time.count(), self.callers.len());
+        f64::from(u32::try_from(served).unwrap()) / f64::from(u32::try_from(all).unwrap())
+    }
+
+    /// Openings that `server` got in the fullest second.
+    pub fn most_in_a_second(&self, server: usize, from: Instant, to: Instant) -> usize {
+        let openings = &self.servers[server].openings;
+        let spans = openings.iter().filter(|at| **at >= from && **at <= to);
+        let counts = spans.map(|at| {
+            let window = *at..*at + Duration::from_secs(1);
+            openings.iter().filter(|o| window.contains(o)).count()
+        });
+        counts.max().unwrap_or(0)
+    }
+
+    /// A caller's packet, by any balancer that is there; with `mod` hashing that may change at any time.
+    fn from_caller(&mut self, header: Header) {
+        let there: Vec<_> = (0..self.balancers.len())
+            .filter(|n| self.balancers[*n].core.is_some())
+            .collect();
+        if there.is_empty() {
+            return;
+        }
+        let key = header.caller_flow();
+        let octets = key.caller.ip().octets();
+        let hash = usize::from(octets[3]) + usize::from(octets[2]) * 256;
+        let to = there[hash % there.len()];
+        self.after(CALLER_HOP, Event::ToBalancer(to, header));
+    }
+
+    fn is_cut(&self, from: Ipv4Addr, to: Ipv4Addr) -> bool {
+        self.cut.contains(&(from, to))
+    }
+
+    fn to_agent(&mut self, from: Ipv4Addr, to: Ipv4Addr, header: Header) {
+        let n = self.agents.iter().position(|a| a.ip == to);
+        if let Some(n) = n.filter(|_| !self.is_cut(from, to)) {
+            self.after(HOP, Event::ToAgent(n, from, header));
+        }
+    }
+
+    fn on_event(&mut self, event: Event) {
+        match event {
+            Event::BalancerTick(n) => self.balancer_tick(n),
+            Event::AgentTick(n, life) => self.agent_tick(n, life),
+            Event::Report(n, life) => self.report(n, life),
+            Event::ToBalancer(n, header) => self.at_balancer(n, header),
+            Event::ToAgent(n, from, header) => self.at_agent(n, from, header),
+            Event::ToServer(n, header) => self.at_server(n, header),
+            Event::FromServer(n, header) => self.from_server(n, header),
+            Event::ToCaller(header) => self.at_caller(header),
+            Event::Reset(flow) => self.reset(flow),
+            Event::Greeting(to, from, greeting, places) => {
+                self.greeted(to, from, *greeting, places)
+            }
+            Event::Done(n, flow, life) => self.done(n, flow, life),
+            Event::Caller(flow, timer) => self.caller_timer(flow, timer),
+            Event::Call(flow) => self.open(flow),
+            Event::Change(change) => self.change(change),
+        }
+    }
+
+    fn count(&mut self, decisions: Vec<Decision>) {
+        for d in decisions {
+            *self.steps.entry((d.step, d.reason)).or_insert(0) += 1;
+        }
+    }
+
+    fn balancer_tick(&mut self, n: usize) {
+        let now = self.now;
+        let node = &mut self.balancers[n];
+        let Some(core) = &mut node.core else {
+            return;
+        };
+        core.on_tick(now);
+        let decisions = core.take_decisions();
+        let due = core.mesh_mut().due(now);
+        let greetings: Vec<_> = due
+            .into_iter()
+            .map(|to| {
+                let greeting = Greeting {
+                    boot: node.boot,
+                    role: NodeRole::Balancer,
+                    index: LogIndex::new(1),
+                    heard: core.mesh().heard_age(now, to.ip),
+                    report: None,
+                };
+                (to.ip, greeting)
+            })
+            .collect();
+        let from = node.ip;
+        for (to, greeting) in greetings {
+            self.greet(from, to, greeting, Vec::new());
+        }
+        self.count(decisions);
+        self.after(BALANCER_TICK, Event::BalancerTick(n));
+    }
+
+    fn greet(&mut self, from: Ipv4Addr, to: Ipv4Addr, greeting: Greeting, places: Vec<FlowPlace>) {
+        if !self.is_cut(from, to) {
+            self.after(HOP, Event::Greeting(to, from, Box::new(greeting), places));
+        }
+    }
+
+    fn greeted(
+        &mut self,
+        to: Ipv4Addr,
+        from: Ipv4Addr,
+        greeting: Greeting,
+        places: Vec<FlowPlace>,
+    ) {
+        let now = self.now;
+        if let Some(node) = self.agents.iter_mut().find(|a| a.ip == to)
+            && let Some(core) = &mut node.core
+        {
+            core.mesh_mut().on_greeting(now, from, greeting);
+            core.on_places(now, from, places);
+        } else if let Some(node) = self.balancers.iter_mut().find(|b| b.ip == to)
+            && let Some(core) = &mut node.core
+        {
+            core.mesh_mut().on_greeting(now, from, greeting);
+            core.on_places(from, places);
+        }
+    }
+
+    fn agent_tick(&mut self, n: usize, life: u32) {
+        let now = self.now;
+        if self.agents[n].life != life {
+            return;
+        }
+        let Some(core) = &mut self.agents[n].core else {
+            return;
+        };
+        core.on_tick(now);
+        self.tell_of_change(n);
+        let node = &mut self.agents[n];
+        let Some(core) = &mut node.core else {
+            return;
+        };
+        let report = core.report(now);
+        let due = core.mesh_mut().due(now);
+        let greetings: Vec<_> = due
+            .into_iter()
+            .map(|to| {
+                let greeting = Greeting {
+                    boot: node.boot,
+                    role: NodeRole::Agent,
+                    index: LogIndex::new(1),
+                    heard: core.mesh().heard_age(now, to.ip),
+                    report: report.clone(),
+                };
+                (to.ip, greeting)
+            })
+            .collect();
+        let from = node.ip;
+        for (to, greeting) in greetings {
+            self.greet(from, to, greeting, Vec::new());
+        }
+        self.act(n);
+        self.after(AGENT_TICK, Event::AgentTick(n, life));
+    }
+
+    fn tell_of_change(&mut self, n: usize) {
+        let now = self.now;
+        let node = &mut self.agents[n];
+        let Some(core) = &mut node.core else {
+            return;
+        };
+        let open = core.report(now).is_some_and(|r| r.open);
+        if open != node.last_open || now >= node.report_from {
+            node.last_open = open;
+            node.report_from = now + Duration::from_millis(25);
+            core.mesh_mut().greet_soon(now, now);
+        }
+    }
+
+    fn act(&mut self, n: usize) {
+        let now = self.now;
+        let from = self.agents[n].ip;
+        let Some(core) = &mut self.agents[n].core else {
+            return;
+        };
+        let actions = core.take_actions();
+        let decisions = core.take_decisions();
+        let report = core.report(now);
+        let boot = self.agents[n].boot;
+        self.count(decisions);
+        let greeting = |heard| Greeting {
+            boot,
+            role: NodeRole::Agent,
+            index: LogIndex::new(1),
+            heard,
+            report: report.clone(),
+        };
+        for action in actions {
+            match action {
+                Action::Forward { to, trail, packet } => {
+                    let id = u64::from_le_bytes(packet[..].try_into().unwrap());
+                    let header = Header {
+                        trail,
+                        ..self.kept[&id]
+                    };
+                    self.to_agent(from, to, header);
+                }
+                Action::Deliver(packet) => {
+                    let id = u64::from_le_bytes(packet[..].try_into().unwrap());
+                    let header = self.kept[&id];
+                    self.after(LOCAL_HOP, Event::ToServer(n, header));
+                }
+                Action::Reset { flow, .. } => self.after(CALLER_HOP, Event::Reset(flow)),
+                Action::TellBalancer { to, place } | Action::TellKeeper { to, place } => {
+                    let heard = self.agents[n]
+                        .core
+                        .as_ref()
+                        .and_then(|c| c.mesh().heard_age(now, to));
+                    self.greet(from, to, greeting(heard), vec![place]);
+                }
+                Action::CheckPort => {
+                    if !self.servers[n].is_up
+                        && let Some(core) = &mut self.agents[n].core
+                    {
+                        core.on_port_closed(now);
+                    }
+                }
+            }
+        }
+    }
+
+    fn at_balancer(&mut self, n: usize, header: Header) {
+        let now = self.now;
+        let from = self.balancers[n].ip;
+        let Some(core) = &mut self.balancers[n].core else {
+            return;
+        };
+        let fate = core.on_packet(now, &header);
+        let decisions = core.take_decisions();
+        self.count(decisions);
+        match fate {
+            BalancerFate::Forward { to, trail } => {
+                self.to_agent(from, to, Header { trail, ..header });
+            }
+            BalancerFate::Reset => self.after(CALLER_HOP, Event::Reset(header.caller_flow())),
+            BalancerFate::Drop => {}
+        }
+    }
+
+    fn keep(&mut self, header: Header) -> Bytes {
+        self.next_kept += 1;
+        self.kept.insert(self.next_kept, header);
+        Bytes::copy_from_slice(&self.next_kept.to_le_bytes())
+    }
+
+    fn at_agent(&mut self, n: usize, from: Ipv4Addr, header: Header) {
+        let now = self.now;
+        let packet = self.keep(header);
+        let Some(core) = &mut self.agents[n].core else {
+            return;
+        };
+        let fate = core.on_caller_packet(now, from, &header, &packet);
+        self.carry_out(n, fate, header);
+    }
+
+    fn carry_out(&mut self, n: usize, fate: Fate, header: Header) {
+        let from = self.agents[n].ip;
+        match fate {
+            Fate::Deliver => self.after(LOCAL_HOP, Event::ToServer(n, header)),
+            Fate::Return => self.after(CALLER_HOP, Event::ToCaller(header)),
+            Fate::Forward { to, trail } => self.to_agent(from, to, Header { trail, ..header }),
+            Fate::Drop => {}
+        }
+        self.act(n);
+    }
+
+    fn from_server(&mut self, n: usize, header: Header) {
+        let now = self.now;
+        let Some(core) = &mut self.agents[n].core else {
+            return;
+        };
+        let fate = core.on_server_packet(now, &header);
+        self.carry_out(n, fate, header);
+    }
+
+    fn report(&mut self, n: usize, life: u64) {
+        let now = self.now;
+        let server = &mut self.servers[n];
+        if server.life != life || !server.is_up {
+            return;
+        }
+        if !server.is_frozen {
+            server.sequence += 1;
+            let statement = ServerStatement {
+                id: format!("server-{n}-{life}").into(),
+                born: UnixMillis::new(1_000 + life),
+                sequence: Sequence::from(server.sequence),
+                service: server.service.clone(),
+                address: SocketAddrV4::new(agent_ip(n), 80),
+                zone: server.zone.clone(),
+                slots: 2,
+                state: server.state,
+                cold_remaining: server.cold_until.saturating_duration_since(now),
+            };
+            if let Some(core) = &mut self.agents[n].core {
+                core.on_statement(now, statement);
+                self.act(n);
+                self.tell_of_change(n);
+            }
+        }
+        self.after(REPORT_INTERVAL, Event::Report(n, life));
+    }
+
+    fn answer(&mut self, n: usize, flow: FlowKey, flags: Flags, seq: u32, len: u16) {
+        let header = Header {
+            source: flow.service,
+            target: flow.caller,
+            flags,
+            seq,
+            ack: 1,
+            len,
+            trail: Trail::from_balancer(Ipv4Addr::UNSPECIFIED, Purpose::Placed),
+        };
+        self.after(LOCAL_HOP, Event::FromServer(n, header));
+    }
+
+    fn at_server(&mut self, n: usize, header: Header) {
+        let flow = header.caller_flow();
+        if !self.servers[n].is_up || self.servers[n].is_frozen {
+            return;
+        }
+        let caller = &self.callers[&flow];
+        let open_at = caller
+            .holder
+            .filter(|_| caller.is_open && caller.outcome.is_none());
+        if header.flags.is_opening() {
+            self.opening_at_server(n, header);
+            return;
+        }
+        if open_at.is_some_and(|holder| holder != n) {
+            *self.breaches.entry(Breach::ElsewhereWhileOpen).or_insert(0) += 1;
+        }
+        let known = self.servers[n].flows.get(&flow).copied();
+        let Some(known) = known.filter(|f| header.ack.wrapping_sub(f.seq) < 1 << 20) else {
+            let flags = header.flags | Flags::BOUNCED;
+            let trail = Trail {
+                hops: 0,
+                purpose: Purpose::Placed,
+                ..header.trail
+            };
+            let back = Header {
+                flags,
+                trail,
+                ..header
+            };
+            self.after(LOCAL_HOP, Event::FromServer(n, back));
+            return;
+        };
+        if let Some(held) = self.servers[n].flows.get_mut(&flow) {
+            held.is_open = true;
+        }
+        if let Some(caller) = self.callers.get_mut(&flow)
+            && caller.outcome.is_none()
+        {
+            caller.holder = Some(n);
+        }
+        if header.len == 0 || known.is_done {
+            if known.is_done {
+                self.answer(n, flow, Flags::ACK, known.seq + 1, 500);
+            }
+            return;
+        }
+        let server = &mut self.servers[n];
+        if server.running.contains(&flow) || server.queue.contains(&flow) {
+            return;
+        }
+        if server.running.len() < 2 {
+            self.work(n, flow);
+        } else {
+            server.queue.push_back(flow);
+            server.longest_queue = server.longest_queue.max(server.queue.len());
+        }
+    }
+
+    fn opening_at_server(&mut self, n: usize, header: Header) {
+        let flow = header.caller_flow();
+        self.check_gate(n, flow);
+        let now = self.now;
+        let seq = self.rng.random::<u32>() | 1;
+        let server = &mut self.servers[n];
+        server.openings.push(now);
+        let waiting = server.queue.len();
+        if let Some(held) = server.flows.get(&flow) {
+            let seq = held.seq;
+            self.answer(n, flow, Flags::SYN | Flags::ACK, seq, 0);
+            return;
+        }
+        if waiting >= SERVER_QUEUE {
+            let flags = header.flags | Flags::BOUNCED;
+            let back = Header { flags, ..header };
+            self.after(LOCAL_HOP, Event::FromServer(n, back));
+            return;
+        }
+        let held = ServerFlow {
+            seq,
+            is_open: false,
+            is_done: false,
+        };
+        server.flows.insert(flow, held);
+        self.answer(n, flow, Flags::SYN | Flags::ACK, seq, 0);
+    }
+
+    /// What no server may get, by the configuration that is in force everywhere but at stale nodes.
+    fn check_gate(&mut self, n: usize, flow: FlowKey) {
+        let server = &self.servers[n];
+        let map = self.stale.get(&n).unwrap_or(&self.map);
+        let allowed = map
+            .route(flow.service)
+            .is_some_and(|r| r.allows(&server.service));
+        let zone_in = map.is_zone_in(&server.zone);
+        let leaves = server.state == ServerState::Draining;
+        for (breached, what) in [
+            (!allowed, "other service"),
+            (!zone_in, "zone out"),
+            (leaves, "draining"),
+        ] {
+            if breached {
+                let breach = Breach::Barred(what.to_owned());
+                *self.breaches.entry(breach).or_insert(0) += 1;
+            }
+        }
+    }
+
+    fn work(&mut self, n: usize, flow: FlowKey) {
+        let server = &mut self.servers[n];
+        server.running.insert(flow);
+        let cold = if self.now < server.cold_until { 16 } else { 10 };
+        let work = self.callers[&flow].work * server.slowness * cold / 10;
+        let life = server.life;
+        self.after(work, Event::Done(n, flow, life));
+    }
+
+    fn done(&mut self, n: usize, flow: FlowKey, life: u64) {
+        let server = &mut self.servers[n];
+        if server.life != life || !server.is_up {
+            return;
+        }
+        if server.is_frozen {
+            self.after(Duration::from_millis(10), Event::Done(n, flow, life));
+            return;
+        }
+        server.running.remove(&flow);
+        server.worked += 1;
+        let Some(held) = server.flows.get_mut(&flow) else {
+            return;
+        };
+        held.is_done = true;
+        let seq = held.seq;
+        let next = server.queue.pop_front();
+        self.answer(n, flow, Flags::ACK, seq + 1, 500);
+        if let Some(next) = next {
+            self.work(n, next);
+        }
+    }
+
+    fn caller_packet(&self, flow: FlowKey, flags: Flags, ack: u32, len: u16) -> Header {
+        Header {
+            source: flow.caller,
+            target: flow.service,
+            flags,
+            seq: if len > 0 { 101 } else { 100 },
+            ack,
+            len,
+            trail: Trail::from_balancer(Ipv4Addr::UNSPECIFIED, Purpose::Placed),
+        }
+    }
+
+    fn open(&mut self, flow: FlowKey) {
+        let syn = self.caller_packet(flow, Flags::SYN, 0, 0);
+        self.from_caller(syn);
+        for (copy, after) in (1..).zip(COPIES) {
+            self.after(after, Event::Caller(flow, CallerTimer::Copy(copy)));
+        }
+        self.after(
+            OPENING_LIMIT,
+            Event::Caller(flow, CallerTimer::GiveUpOpening),
+        );
+        self.after(self.limit, Event::Caller(flow, CallerTimer::Deadline));
+    }
+
+    fn caller_timer(&mut self, flow: FlowKey, timer: CallerTimer) {
+        let caller = &self.callers[&flow];
+        if caller.outcome.is_some() {
+            return;
+        }
+        let is_open = caller.is_open;
+        match timer {
+            CallerTimer::Copy(copy) if !is_open => {
+                let syn = self.caller_packet(flow, Flags::SYN, copy, 0);
+                self.from_caller(syn);
+            }
+            CallerTimer::Resend if is_open => self.send_request(flow),
+            CallerTimer::GiveUpOpening if !is_open => self.end(flow, Outcome::GaveUp),
+            CallerTimer::Deadline => self.end(flow, Outcome::GaveUp),
+            _ => {}
+        }
+    }
+
+    fn end(&mut self, flow: FlowKey, outcome: Outcome) {
+        let now = self.now;
+        if let Some(caller) = self.callers.get_mut(&flow)
+            && caller.outcome.is_none()
+        {
+            caller.outcome = Some(outcome);
+            if outcome == Outcome::Answered {
+                caller.answered_at = Some(now);
+            }
+        }
+    }
+
+    fn send_request(&mut self, flow: FlowKey) {
+        let ack = self.callers[&flow].server_seq.wrapping_add(1);
+        let request = self.caller_packet(flow, Flags::ACK, ack, 900);
+        self.from_caller(request);
+        self.after(RESEND, Event::Caller(flow, CallerTimer::Resend));
+    }
+
+    fn at_caller(&mut self, header: Header) {
+        let flow = header.server_flow();
+        let Some(caller) = self.callers.get_mut(&flow) else {
+            return;
+        };
+        if caller.outcome.is_some() {
+            return;
+        }
+        if header.flags.has(Flags::SYN) && !caller.is_open {
+            caller.is_open = true;
+            caller.server_seq = header.seq;
+            self.send_request(flow);
+        } else if header.len > 0 && header.seq == caller.server_seq.wrapping_add(1) {
+            let fin = self.caller_packet(flow, Flags::FIN | Flags::ACK, header.seq, 0);
+            self.end(flow, Outcome::Answered);
+            self.from_caller(fin);
+        }
+    }
+
+    fn reset(&mut self, flow: FlowKey) {
+        let Some(caller) = self.callers.get(&flow) else {
+            return;
+        };
+        if caller.outcome.is_some() {
+            return;
+        }
+        let is_open = caller.is_open;
+        if let Some(holder) = caller.holder.filter(|_| is_open) {
+            let server = &self.servers[holder];
+            if server.is_up && server.flows.contains_key(&flow) {
+                *self.breaches.entry(Breach::ResetWhileOpen).or_insert(0) += 1;
+            }
+        }
+        let outcome = if is_open {
+            Outcome::BrokenOff
+        } else {
+            Outcome::Refused
+        };
+        self.end(flow, outcome);
+    }
+
+    fn change(&mut self, change: Change) {
+        let now = self.now;
+        match change {
+            Change::KillAgent(n) => self.agents[n].core = None,
+            Change::StartAgent(n) => self.start_agent(n),
+            Change::CrashServer(n) => self.servers[n].crash(),
+            Change::FreezeServer(n, frozen) => self.servers[n].is_frozen = frozen,
+            Change::StartServer(n) => {
+                let server = &mut self.servers[n];
+                server.crash();
+                server.life += 1;
+                server.sequence = 0;
+                server.is_up = true;
+                server.state = ServerState::Ready;
+                server.cold_until = now + Duration::from_secs(2);
+                let life = server.life;
+                self.after(LOCAL_HOP, Event::Report(n, life));
+            }
+            Change::Drain(n) => {
+                self.servers[n].state = ServerState::Draining;
+                let life = self.servers[n].life;
+                self.report(n, life);
+            }
+            Change::SlowServer(n, times) => self.servers[n].slowness = times,
+            Change::AddBalancer => self.add_balancer(),
+            Change::RemoveBalancer(n) => self.balancers[n].core = None,
+            Change::CutOneWay { from, to } => {
+                let from = self.ips_in(from);
+                for from in from {
+                    for to in self.ips_in(to) {
+                        self.cut.insert((from, to));
+                    }
+                }
+            }
+        }
+    }
+
+    fn ips_in(&self, zone: usize) -> Vec<Ipv4Addr> {
+        let agents = (0..self.agents.len())
+            .filter(|n| n % 3 == zone)
+            .map(agent_ip);
+        let balancers = (0..self.balancers.len())
+            .filter(|n| n % 3 == zone)
+            .map(balancer_ip);
+        agents.chain(balancers).collect()
+    }
+}
+
+impl Server {
+    fn crash(&mut self) {
+        self.is_up = false;
+        self.flows.clear();
+        self.running.clear();
+        self.queue.clear();
+    }
+}
+
+fn node<T>(ip: Ipv4Addr, now: Instant) -> Node<T> {
+    Node {
+        ip,
+        boot: Boot::default(),
+        core: None,
+        life: 0,
+        last_open: false,
+        report_from: now,
+    }
+}
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod claims;
 mod directory;
 mod fleet;
+mod forwarded;
 mod handoff;
 mod imbalance;
 mod packets;
--- a/crates/wire/src/convert/forwarded.rs
+++ b/crates/wire/src/convert/forwarded.rs
@@ -122,6 +122,9 @@
             busy: r.busy,
             flows: r.flows,
             slots: r.slots,
+            work_us: r
+                .work
+                .map(|work| u32::try_from(work.as_micros()).unwrap_or(u32::MAX)),
         }
     }
 }
@@ -138,6 +141,7 @@
             busy: r.busy,
             flows: r.flows,
             slots: r.slots,
+            work: r.work_us.map(|us| Duration::from_micros(us.into())),
         })
     }
 }
--- a/src/forwarded/agent.rs
+++ b/src/forwarded/agent.rs
@@ -42,7 +42,7 @@
 enum Said {
     Report(ServerStatement, oneshot::Sender<StatementOutcome>),
     Leave(Box<str>, oneshot::Sender<bool>),
-    PortClosed,
+    PortClosed { looked_at: Instant },
 }
 
 /// Tells the agent what its server says.
@@ -219,8 +219,8 @@
                     .event(event.with(if left { "gone" } else { "not the current one" }));
                 reply.send(left).ok();
             }
-            Said::PortClosed => {
-                if self.agent.on_port_closed() {
+            Said::PortClosed { looked_at } => {
+                if self.agent.on_port_closed(looked_at) {
                     let event = Event::new("server gone").about(self.server);
                     self.journal.event(event.with("its port is closed"));
                 }
@@ -301,6 +301,9 @@
                     self.format.set_trail(&mut packet, trail);
                     packets::send(&self.packets, SocketAddrV4::new(to, self.port), &packet);
                 }
+                Action::Deliver(packet) => {
+                    packets::send(&self.outbound, self.server, &packet);
+                }
                 Action::Reset { flow, seq } => {
                     let reset = self.format.reset(flow, seq);
                     self.return_to(*flow.caller.ip(), &reset);
@@ -314,10 +317,11 @@
                 }
                 Action::CheckPort => {
                     let (server, tx) = (self.server, self.handle.tx.clone());
+                    let looked_at = Instant::now();
                     tokio::spawn(async move {
                         if is_port_closed(server).await {
                             // The receiver is gone only when the process ends.
-                            drop(tx.send(Said::PortClosed).await);
+                            drop(tx.send(Said::PortClosed { looked_at }).await);
                         }
                     });
                 }
