--- a/crates/core/src/forwarded/agent.rs
+++ b/crates/core/src/forwarded/agent.rs
@@ -399,7 +399,7 @@
     fn on_opening(&mut self, now: Instant, from: Ipv4Addr, header: &Header, packet: &[u8]) -> Fate {
         let key = header.caller_flow();
         if let Some(to) = self.copy_redirect(now, header).filter(|to| *to != from) {
-            return self.forward_opening(to, header.trail);
+            return Self::forward_opening(to, header.trail);
         }
         if let Some(flow) = self.flows.get_mut(&key) {
             // The answer may have been lost; the server gives it again.
@@ -552,7 +552,7 @@
             hops: header.trail.hops,
             ..Decision::new(Step::PassedOn, key, self.map.index)
         });
-        self.forward_opening(to, header.trail)
+        Self::forward_opening(to, header.trail)
     }
 
     /// Where an earlier copy of an opening packet went. The same copy again was handed on by those to
@@ -566,7 +566,7 @@
         self.redirect(now, key).filter(|_| is_later)
     }
 
-    const fn forward_opening(&self, to: Ipv4Addr, trail: Trail) -> Fate {
+    const fn forward_opening(to: Ipv4Addr, trail: Trail) -> Fate {
         let trail = Trail {
             hops: trail.hops + 1,
             purpose: Purpose::Placed,
@@ -638,7 +638,7 @@
         let key = header.caller_flow();
         let trail = header.trail;
         if let Some(to) = self.redirect(now, key) {
-            return self.follow(to, trail, Purpose::Placed);
+            return Self::follow(to, trail, Purpose::Placed);
         }
         let own = self.mesh.own().ip;
         let holder = self.directory.find(key, header.ack);
@@ -654,7 +654,7 @@
                 self.adopt(now, header)
             }
             purpose => match holder {
-                Some(to) => self.follow(to, trail, Purpose::Kept),
+                Some(to) => Self::follow(to, trail, Purpose::Kept),
                 None => self.ask_on(now, header, packet, purpose),
             },
         }
@@ -671,16 +671,16 @@
         }
         match purpose {
             Purpose::Placed if first.is_some() => {
-                self.follow(first.unwrap_or(own), header.trail, Purpose::FirstKeeper)
+                Self::follow(first.unwrap_or(own), header.trail, Purpose::FirstKeeper)
             }
             Purpose::Placed | Purpose::FirstKeeper if second.is_some() => {
-                self.follow(second.unwrap_or(own), header.trail, Purpose::SecondKeeper)
+                Self::follow(second.unwrap_or(own), header.trail, Purpose::SecondKeeper)
             }
             _ => self.search(now, header, packet),
         }
     }
 
-    fn follow(&self, to: Ipv4Addr, trail: Trail, purpose: Purpose) -> Fate {
+    fn follow(to: Ipv4Addr, trail: Trail, purpose: Purpose) -> Fate {
         if trail.hops >= MAX_FOLLOWING_HOPS {
             return Fate::Drop;
         }
--- a/crates/core/tests/testsuite/forwarded/faults.rs
+++ b/crates/core/tests/testsuite/forwarded/faults.rs
@@ -164,7 +164,7 @@
     world.calls(Duration::from_secs(2), 300.0, ORDERS_ADDRESS);
     world.run_for(Duration::from_secs(5));
     let steps = &world.steps;
-    let judged: u32 = steps.iter().map(|(_, count)| count).sum();
+    let judged: u32 = steps.values().sum();
     let calls = u32::try_from(world.callers.len()).unwrap();
     // A placement and at most three hops, a refusal or an acceptance, for each of three copies.
     assert!(
--- a/crates/core/tests/testsuite/forwarded/keepers.rs
+++ b/crates/core/tests/testsuite/forwarded/keepers.rs
@@ -9,7 +9,7 @@
 use dogwoodrill_core::forwarded::packet::FlowKey;
 use insta::assert_snapshot;
 
-const TTL: Duration = Duration::from_secs(60);
+const TTL: Duration = Duration::from_mins(1);
 
 fn agents(count: u8) -> Vec<(Ipv4Addr, Boot)> {
     let ips = (0..count).map(|n| Ipv4Addr::new(10, 0, 0, n));
@@ -132,7 +132,7 @@
         directory.find(flow(1), 0x2000_0001),
         Some(Ipv4Addr::new(10, 0, 0, 2))
     );
-    directory.expire(now + TTL - Duration::from_millis(1));
+    directory.expire(now + Duration::from_millis(59_999));
     assert_eq!(directory.len(), 1);
     directory.expire(now + TTL);
     assert!(directory.is_empty());
--- a/crates/core/tests/testsuite/forwarded/world.rs
+++ b/crates/core/tests/testsuite/forwarded/world.rs
@@ -37,7 +37,7 @@
 const AGENT_TICK: Duration = Duration::from_millis(20);
 const BALANCER_TICK: Duration = Duration::from_millis(50);
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
-const MAX_FLOW_AGE: Duration = Duration::from_secs(60);
+const MAX_FLOW_AGE: Duration = Duration::from_mins(1);
 const COPIES: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(600)];
 const OPENING_LIMIT: Duration = Duration::from_millis(1400);
 const RESEND: Duration = Duration::from_millis(200);
@@ -322,12 +322,12 @@
         let life = node.life;
         self.after(Duration::ZERO, Event::AgentTick(n, life));
         let role = NodeRole::Agent;
-        for node in self.balancers.iter_mut() {
+        for node in &mut self.balancers {
             if let Some(core) = &mut node.core {
                 core.mesh_mut().learn(self.now, NodeAddress { ip, role });
             }
         }
-        for node in self.agents.iter_mut() {
+        for node in &mut self.agents {
             if let Some(core) = &mut node.core {
                 core.mesh_mut().learn(self.now, NodeAddress { ip, role });
             }
@@ -453,7 +453,7 @@
     }
 
     /// A caller's packet, by any balancer that is there; with `mod` hashing that may change at any time.
-    fn from_caller(&mut self, header: Header) {
+    fn caller_sends(&mut self, header: Header) {
         let there: Vec<_> = (0..self.balancers.len())
             .filter(|n| self.balancers[*n].core.is_some())
             .collect();
@@ -471,7 +471,7 @@
         self.cut.contains(&(from, to))
     }
 
-    fn to_agent(&mut self, from: Ipv4Addr, to: Ipv4Addr, header: Header) {
+    fn send_to_agent(&mut self, from: Ipv4Addr, to: Ipv4Addr, header: Header) {
         let n = self.agents.iter().position(|a| a.ip == to);
         if let Some(n) = n.filter(|_| !self.is_cut(from, to)) {
             self.after(HOP, Event::ToAgent(n, from, header));
@@ -486,11 +486,11 @@
             Event::ToBalancer(n, header) => self.at_balancer(n, header),
             Event::ToAgent(n, from, header) => self.at_agent(n, from, header),
             Event::ToServer(n, header) => self.at_server(n, header),
-            Event::FromServer(n, header) => self.from_server(n, header),
+            Event::FromServer(n, header) => self.server_sent(n, header),
             Event::ToCaller(header) => self.at_caller(header),
             Event::Reset(flow) => self.reset(flow),
             Event::Greeting(to, from, greeting, places) => {
-                self.greeted(to, from, *greeting, places)
+                self.greeted(to, from, *greeting, places);
             }
             Event::Done(n, flow, life) => self.done(n, flow, life),
             Event::Caller(flow, timer) => self.caller_timer(flow, timer),
@@ -639,7 +639,7 @@
                         trail,
                         ..self.kept[&id]
                     };
-                    self.to_agent(from, to, header);
+                    self.send_to_agent(from, to, header);
                 }
                 Action::Deliver(packet) => {
                     let id = u64::from_le_bytes(packet[..].try_into().unwrap());
@@ -676,7 +676,7 @@
         self.count(decisions);
         match fate {
             BalancerFate::Forward { to, trail } => {
-                self.to_agent(from, to, Header { trail, ..header });
+                self.send_to_agent(from, to, Header { trail, ..header });
             }
             BalancerFate::Reset => self.after(CALLER_HOP, Event::Reset(header.caller_flow())),
             BalancerFate::Drop => {}
@@ -704,13 +704,13 @@
         match fate {
             Fate::Deliver => self.after(LOCAL_HOP, Event::ToServer(n, header)),
             Fate::Return => self.after(CALLER_HOP, Event::ToCaller(header)),
-            Fate::Forward { to, trail } => self.to_agent(from, to, Header { trail, ..header }),
+            Fate::Forward { to, trail } => self.send_to_agent(from, to, Header { trail, ..header }),
             Fate::Drop => {}
         }
         self.act(n);
     }
 
-    fn from_server(&mut self, n: usize, header: Header) {
+    fn server_sent(&mut self, n: usize, header: Header) {
         let now = self.now;
         let Some(core) = &mut self.agents[n].core else {
             return;
@@ -899,7 +899,7 @@
         }
     }
 
-    fn caller_packet(&self, flow: FlowKey, flags: Flags, ack: u32, len: u16) -> Header {
+    fn caller_packet(flow: FlowKey, flags: Flags, ack: u32, len: u16) -> Header {
         Header {
             source: flow.caller,
             target: flow.service,
@@ -912,8 +912,8 @@
     }
 
     fn open(&mut self, flow: FlowKey) {
-        let syn = self.caller_packet(flow, Flags::SYN, 0, 0);
-        self.from_caller(syn);
+        let syn = Self::caller_packet(flow, Flags::SYN, 0, 0);
+        self.caller_sends(syn);
         for (copy, after) in (1..).zip(COPIES) {
             self.after(after, Event::Caller(flow, CallerTimer::Copy(copy)));
         }
@@ -932,8 +932,8 @@
         let is_open = caller.is_open;
         match timer {
             CallerTimer::Copy(copy) if !is_open => {
-                let syn = self.caller_packet(flow, Flags::SYN, copy, 0);
-                self.from_caller(syn);
+                let syn = Self::caller_packet(flow, Flags::SYN, copy, 0);
+                self.caller_sends(syn);
             }
             CallerTimer::Resend if is_open => self.send_request(flow),
             CallerTimer::GiveUpOpening if !is_open => self.end(flow, Outcome::GaveUp),
@@ -956,8 +956,8 @@
 
     fn send_request(&mut self, flow: FlowKey) {
         let ack = self.callers[&flow].server_seq.wrapping_add(1);
-        let request = self.caller_packet(flow, Flags::ACK, ack, 900);
-        self.from_caller(request);
+        let request = Self::caller_packet(flow, Flags::ACK, ack, 900);
+        self.caller_sends(request);
         self.after(RESEND, Event::Caller(flow, CallerTimer::Resend));
     }
 
@@ -974,9 +974,9 @@
             caller.server_seq = header.seq;
             self.send_request(flow);
         } else if header.len > 0 && header.seq == caller.server_seq.wrapping_add(1) {
-            let fin = self.caller_packet(flow, Flags::FIN | Flags::ACK, header.seq, 0);
+            let fin = Self::caller_packet(flow, Flags::FIN | Flags::ACK, header.seq, 0);
             self.end(flow, Outcome::Answered);
-            self.from_caller(fin);
+            self.caller_sends(fin);
         }
     }
 
--- a/crates/wire/src/convert/forwarded.rs
+++ b/crates/wire/src/convert/forwarded.rs
@@ -250,7 +250,7 @@
         let mut routes = HashMap::with_capacity(t.routes.len());
         for route in t.routes {
             let address = end("route port", route.ip, route.port)?;
-            let targets = route.targets.into_iter().map(|t| target(&services, &t));
+            let targets = route.targets.into_iter().map(|t| target(&services, t));
             let targets = targets.collect::<Result<_, _>>()?;
             routes.insert(address, Route { targets });
         }
@@ -265,7 +265,7 @@
 
 fn target(
     services: &[(ServiceLabel, ServiceTerms)],
-    target: &wire::Target,
+    target: wire::Target,
 ) -> Result<Target, ConvertError> {
     let position = usize::try_from(target.service).ok();
     let service = position.and_then(|at| services.get(at));
--- a/src/forwarded/agent.rs
+++ b/src/forwarded/agent.rs
@@ -193,7 +193,7 @@
         self.agent.stop();
         self.ready.send_replace(false);
         self.journal
-            .event(Event::new("stopping").with("no new flows"));
+            .event(Event::new("stopping").with(&"no new flows"));
     }
 
     fn on_said(&mut self, said: Said) {
@@ -206,23 +206,28 @@
                     outcome,
                     StatementOutcome::NewLife | StatementOutcome::Changed
                 ) {
-                    let event = Event::new("server reported").about(subject).with(outcome);
+                    let event = Event::new("server reported").about(&subject).with(&outcome);
                     self.journal.event(event);
                 }
-                // Whoever asked may have gone away meanwhile.
-                reply.send(outcome).ok();
+                if reply.send(outcome).is_err() {
+                    let event = Event::new("report not answered");
+                    self.journal.event(event.with(&"the server hung up"));
+                }
             }
             Said::Leave(id, reply) => {
                 let left = self.agent.on_leave(now, &id);
-                let event = Event::new("server leaves").about(id);
+                let event = Event::new("server leaves").about(&id);
                 self.journal
-                    .event(event.with(if left { "gone" } else { "not the current one" }));
-                reply.send(left).ok();
+                    .event(event.with(&if left { "gone" } else { "not the current one" }));
+                if reply.send(left).is_err() {
+                    let event = Event::new("farewell not answered");
+                    self.journal.event(event.with(&"the server hung up"));
+                }
             }
             Said::PortClosed { looked_at } => {
                 if self.agent.on_port_closed(looked_at) {
-                    let event = Event::new("server gone").about(self.server);
-                    self.journal.event(event.with("its port is closed"));
+                    let event = Event::new("server gone").about(&self.server);
+                    self.journal.event(event.with(&"its port is closed"));
                 }
             }
         }
@@ -269,7 +274,7 @@
             let event = if is_open(&report) { "open" } else { "closed" };
             let closed = self.agent.server().closed(now);
             let why = closed.map_or_else(String::new, |c| c.to_string());
-            let event = Event::new(event).about(self.server).with(why);
+            let event = Event::new(event).about(&self.server).with(&why);
             self.journal.event(event.at(self.agent.map().index.get()));
         }
         self.last_report = report;
@@ -353,7 +358,7 @@
                     "node heard"
                 };
                 self.journal
-                    .event(Event::new(event).about(format!("{role} {from}")));
+                    .event(Event::new(event).about(&format!("{role} {from}")));
             }
             if role == NodeRole::Control {
                 self.fetcher.on_index(from, theirs, self.agent.map().index);
@@ -368,13 +373,13 @@
                 let index = map.index.get();
                 if self.agent.on_map(Arc::new(map)) {
                     self.metrics.config_index.set(index.cast_signed());
-                    let event = Event::new("configuration in force").about(fetched.from);
+                    let event = Event::new("configuration in force").about(&fetched.from);
                     self.journal.event(event.at(index));
                 }
             }
             Err(e) => {
-                let event = Event::new("configuration not fetched").about(fetched.from);
-                self.journal.event(event.with(e));
+                let event = Event::new("configuration not fetched").about(&fetched.from);
+                self.journal.event(event.with(&e));
             }
         }
         self.tell_of_change(Instant::now());
--- a/src/forwarded/balancer.rs
+++ b/src/forwarded/balancer.rs
@@ -121,7 +121,7 @@
     fn stop(&mut self) {
         self.stop_at = Some(Instant::now() + self.linger);
         self.ready.send_replace(false);
-        let event = Event::new("stopping").with("not ready, packets go on to be forwarded");
+        let event = Event::new("stopping").with(&"not ready, packets go on to be forwarded");
         self.journal.event(event);
     }
 
@@ -174,7 +174,7 @@
                     "node heard"
                 };
                 self.journal
-                    .event(Event::new(event).about(format!("{role} {from}")));
+                    .event(Event::new(event).about(&format!("{role} {from}")));
             }
             if role == NodeRole::Control {
                 self.fetcher
@@ -190,13 +190,13 @@
                 let index = map.index.get();
                 if self.balancer.on_map(Arc::new(map)) {
                     self.metrics.config_index.set(index.cast_signed());
-                    let event = Event::new("configuration in force").about(fetched.from);
+                    let event = Event::new("configuration in force").about(&fetched.from);
                     self.journal.event(event.at(index));
                 }
             }
             Err(e) => {
-                let event = Event::new("configuration not fetched").about(fetched.from);
-                self.journal.event(event.with(e));
+                let event = Event::new("configuration not fetched").about(&fetched.from);
+                self.journal.event(event.with(&e));
             }
         }
     }
--- a/src/forwarded/control.rs
+++ b/src/forwarded/control.rs
@@ -436,12 +436,12 @@
         let config = self.cluster.config();
         let index = config.index.get();
         if let Err(e) = self.maps.renew(&config) {
-            let event = Event::new("configuration not usable").with(e).at(index);
+            let event = Event::new("configuration not usable").with(&e).at(index);
             self.journal.event(event);
             return;
         }
         let version = config.document.as_ref().map_or(0, |d| d.version.get());
-        let event = Event::new("configuration committed").with(format!("version {version}"));
+        let event = Event::new("configuration committed").with(&format!("version {version}"));
         self.journal.event(event.at(index));
         let now = Instant::now();
         let nodes: Vec<_> = self.mesh.nodes().map(|(ip, _)| ip).collect();
@@ -478,7 +478,7 @@
                     "node heard"
                 };
                 self.journal
-                    .event(Event::new(event).about(format!("{role} {from}")));
+                    .event(Event::new(event).about(&format!("{role} {from}")));
             }
             if role != NodeRole::Control {
                 let nodes = self.known(now);
--- a/src/forwarded/journal.rs
+++ b/src/forwarded/journal.rs
@@ -4,6 +4,7 @@
 //! packets never waits for whoever reads the log. When the reader falls behind, lines are left out
 //! and counted.
 
+use std::fmt::Display;
 use std::io::Write;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread;
@@ -47,14 +48,14 @@
 
     /// The same event about `subject`.
     #[must_use]
-    pub fn about(self, subject: impl ToString) -> Self {
+    pub fn about(self, subject: &dyn Display) -> Self {
         let subject = Some(subject.to_string());
         Self { subject, ..self }
     }
 
     /// The same event with what decided it.
     #[must_use]
-    pub fn with(self, detail: impl ToString) -> Self {
+    pub fn with(self, detail: &dyn Display) -> Self {
         let detail = Some(detail.to_string());
         Self { detail, ..self }
     }
@@ -193,7 +194,7 @@
     pub fn flush(&mut self) {
         if self.left_out > 0 && self.buf.len() < BUFFER_BYTES {
             let left_out = std::mem::take(&mut self.left_out);
-            self.line(Event::new("lines left out").with(left_out));
+            self.line(Event::new("lines left out").with(&left_out));
         }
         if self.buf.is_empty() {
             return;
--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -108,7 +108,7 @@
     let role = settings.role.role();
     logs::install_for_stdout();
     let mut journal = Journal::start(&settings.name);
-    let start = Event::new("start").about(role).with(format!(
+    let start = Event::new("start").about(&role).with(&format!(
         "version {}, zone {}, channels between processes without TLS on a private network",
         env!("CARGO_PKG_VERSION"),
         settings.zone
@@ -116,7 +116,7 @@
     journal.event(start);
     journal.flush();
     let node = NodeProcess::new(path, settings)?;
-    let ended = node.run(journal).await;
+    let ended = Box::pin(node.run(journal)).await;
     match &ended {
         Ok(()) => log::info!("{role} stopped"),
         Err(e) => log::error!("{role} stopped: {e}"),
