Do not hold the list of seeds while a control host asks to be taken in

Ruled out: the leader's refusal (the next empty host was taken in at its first request). Tests: real control hosts, an agent and a balancer on loopback; an empty host joins while its settings change all the time.

--- a/src/forwarded/control.rs
+++ b/src/forwarded/control.rs
@@ -271,7 +271,11 @@
                         sleep(MEMBERS_PAUSE).await;
                     }
                     Some(founders) => self.found(founders).await,
-                    None => self.ask(identity.host, &seeds.borrow().clone()).await,
+                    None => {
+                        // The guard must not be held across the requests: who changes the seeds waits for it.
+                        let known = seeds.borrow().clone();
+                        self.ask(identity.host, &known).await;
+                    }
                 }
             }
             sleep(JOIN_PAUSE).await;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod control_hosts;
 mod fleet;
 mod flows;
+mod forwarded;
 mod load;
 mod monitor;
 mod operator_cli;
