Treat a disk that takes nothing at all as one that hangs

The store now says that there is no room and that nothing of the write counts, and the driver tries the same write again; the others elect a leader meanwhile. The store's test refuses three writes, gives room and reads all back.

--- a/crates/consensus/src/store/file.rs
+++ b/crates/consensus/src/store/file.rs
@@ -24,7 +24,7 @@
 
 use std::io;
 
-use snafu::{ResultExt, Snafu};
+use snafu::{ResultExt, Snafu, ensure};
 
 use super::Store;
 use crate::entry::{Batch, Restored};
@@ -55,6 +55,13 @@
         /// What the operating system said.
         source: io::Error,
     },
+    /// The disk takes no bytes at all, not even in the room that was kept free. Nothing of the write
+    /// counts; the same write may be tried again.
+    #[snafu(display("there is no room to write {file}; free some on the disk of the data folder"))]
+    NoRoom {
+        /// The file.
+        file: String,
+    },
     /// The file is not what was written.
     #[snafu(display(
         "{file} is damaged at byte {offset}: {damage}; replace this control host, its disk may not vote"
@@ -78,6 +85,13 @@
     },
 }
 
+impl FileError {
+    /// Whether the same write may be tried again once there is room.
+    pub const fn is_no_room(&self) -> bool {
+        matches!(self, Self::NoRoom { .. })
+    }
+}
+
 /// A log in a folder.
 #[derive(Debug)]
 pub struct FileStore<F: Folder> {
@@ -159,6 +173,7 @@
             self.give_up_ballast()?;
             written = self.folder.write_at(&name, self.end, &bytes);
         }
+        ensure!(!is_no_room(&written), NoRoomSnafu { file: &name });
         written.context(IoSnafu {
             action: "write",
             file: &name,
@@ -188,6 +203,7 @@
             self.give_up_ballast()?;
             replaced = self.replace(&name, &bytes);
         }
+        ensure!(!is_no_room(&replaced), NoRoomSnafu { file: &name });
         replaced.context(IoSnafu {
             action: "write",
             file: &name,
@@ -228,7 +244,7 @@
             Batch::Append { .. } if batch.is_empty() => Ok(()),
             Batch::Append { .. } => self.append(batch),
         };
-        self.failed = written.is_err();
+        self.failed = written.as_ref().is_err_and(|e| !e.is_no_room());
         written
     }
 }
--- a/crates/consensus/tests/testsuite/store.rs
+++ b/crates/consensus/tests/testsuite/store.rs
@@ -352,6 +352,32 @@
     ");
 }
 
+/// The disk refuses everything for a while, also in the room that was kept free.
+#[test]
+fn a_write_that_a_full_disk_refused_may_be_tried_again() {
+    let folder = MemoryFolder::default();
+    let mut store = create(&folder).unwrap();
+    store.write(&batch(2, 300)).unwrap();
+    folder.set_room(Some(0));
+    for _ in 0..3 {
+        let refused = store.write(&batch(3, 300)).unwrap_err();
+        assert!(refused.is_no_room(), "{refused}");
+    }
+    assert_eq!(
+        open(&folder).unwrap().unwrap().restored.last_index().get(),
+        2
+    );
+    folder.set_room(None);
+    store.write(&batch(3, 300)).unwrap();
+    store.write(&batch(4, 300)).unwrap();
+    assert!(store.recover_room());
+    folder.crash(Unsynced::Lost);
+    assert_eq!(
+        open(&folder).unwrap().unwrap().restored.last_index().get(),
+        4
+    );
+}
+
 #[test]
 fn a_rewrite_leaves_one_generation() {
     let (folder, _, restored) = three_batches(10);
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -25,7 +25,7 @@
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinError;
-use tokio::time::sleep_until;
+use tokio::time::{sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 
 use super::handle::{Input, OwnPlace};
@@ -40,6 +40,8 @@
 const MAX_BATCH: usize = 1024;
 /// Time between two looks at whether a full disk has room again.
 const ROOM_INTERVAL: Duration = Duration::from_secs(1);
+/// Pause before a write is tried again that a full disk refused.
+const FULL_PAUSE: Duration = Duration::from_millis(100);
 /// Position of the snapshot that a cluster is founded with.
 const FIRST_INDEX: LogIndex = LogIndex::new(1);
 
@@ -350,8 +352,7 @@
         }
         if !outputs.batch.is_empty() {
             let began_at = Instant::now();
-            let batch = outputs.batch;
-            self.with_store(move |store| store.write(&batch)).await?;
+            self.write(Arc::new(outputs.batch)).await?;
             self.metrics
                 .sync_seconds
                 .observe(began_at.elapsed().as_secs_f64());
@@ -363,6 +364,21 @@
         Ok(())
     }
 
+    /// Writes a batch. While the disk takes nothing at all, nothing is decided here, as with a disk that
+    /// hangs: the others elect another leader, and nobody is told what is not on this disk.
+    async fn write(&mut self, batch: Arc<Batch>) -> Result<(), DriverError> {
+        loop {
+            let batch = Arc::clone(&batch);
+            match self.with_store(move |store| store.write(&batch)).await {
+                Err(DriverError::Disk { source }) if source.is_no_room() => {
+                    self.set_disk_full(true);
+                    sleep(FULL_PAUSE).await;
+                }
+                written => return written,
+            }
+        }
+    }
+
     /// Uses the store on a thread that may block.
     async fn with_store<T, F>(&mut self, work: F) -> Result<T, DriverError>
     where
