--- a/crates/core/src/forwarded/agent.rs
+++ b/crates/core/src/forwarded/agent.rs
@@ -549,6 +549,7 @@
         self.decide(Decision {
             age,
             busy: Some(self.busy),
+            work: self.work.measured(),
             hops: header.trail.hops,
             ..Decision::new(Step::Accepted, key, self.map.index)
         });
--- a/crates/core/src/forwarded/decision.rs
+++ b/crates/core/src/forwarded/decision.rs
@@ -102,6 +102,8 @@
     pub service: Option<ServiceLabel>,
     /// Requests at the backend server, as far as known.
     pub busy: Option<u32>,
+    /// Time that it takes for one, as far as measured.
+    pub work: Option<Duration>,
     /// Age of what was known of that server.
     pub age: Option<Duration>,
     /// How often the packet was passed on before.
@@ -119,6 +121,7 @@
             reason: None,
             service: None,
             busy: None,
+            work: None,
             age: None,
             hops: 0,
         }
--- a/src/forwarded/journal.rs
+++ b/src/forwarded/journal.rs
@@ -90,6 +90,8 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     busy: Option<u32>,
     #[serde(skip_serializing_if = "Option::is_none")]
+    work_us: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     age_ms: Option<u64>,
     #[serde(skip_serializing_if = "is_zero")]
     hops: u8,
@@ -113,6 +115,7 @@
             why: d.reason.map(|r| r.to_string()),
             service: d.service.map(|s| s.to_string()),
             busy: d.busy,
+            work_us: d.work.map(|w| u64::try_from(w.as_micros()).unwrap_or(u64::MAX)),
             age_ms: d
                 .age
                 .map(|a| u64::try_from(a.as_millis()).unwrap_or(u64::MAX)),
