--- a/crates/wire/tests/testsuite/forwarded.rs
+++ b/crates/wire/tests/testsuite/forwarded.rs
@@ -1,7 +1,7 @@
 //! Messages between the nodes that forward flows arrive as they were sent.
 
 use std::collections::BTreeSet;
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
 use dogwoodrill_core::forwarded::keepers::FlowPlace;
@@ -149,3 +149,36 @@
     };
     RouteTable::try_from(table).unwrap_err();
 }
+
+/// What the capacity page reckons with.
+#[test]
+fn bytes_of_a_route_and_of_a_place() {
+    let routes = (0..350_u16).map(|port| {
+        let route = Route {
+            targets: vec![Target {
+                service: "orders".into(),
+                weight: Weight::new(1),
+            }],
+            terms: RequestTerms {
+                target: Duration::from_millis(100),
+                timeout: Duration::from_millis(1500),
+                priority: 2,
+            },
+        };
+        (
+            SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 1000 + port),
+            route,
+        )
+    });
+    let table = RouteTable {
+        routes: routes.collect(),
+        services: [("orders".into(), ServiceTerms::default())].into(),
+        ..RouteTable::default()
+    };
+    let table = wire::RouteTable::from(&table).encoded_len();
+    let mut places = datagram(greeting(NodeRole::Agent));
+    let empty = wire::Datagram::from(&places).encoded_len();
+    places.places = (0..40).map(place).collect();
+    let places = wire::Datagram::from(&places).encoded_len() - empty;
+    assert_eq!((table / 350, places / 40), (21, 24));
+}
