--- a/crates/core/src/forwarded/mesh.rs
+++ b/crates/core/src/forwarded/mesh.rs
@@ -191,6 +191,13 @@
         known.listed_at = now;
     }
 
+    /// These nodes are said to be there.
+    pub fn learn_all(&mut self, now: Instant, nodes: impl IntoIterator<Item = NodeAddress>) {
+        for node in nodes {
+            self.learn(now, node);
+        }
+    }
+
     /// A node greeted this one.
     pub fn on_greeting(&mut self, now: Instant, from: Ipv4Addr, greeting: Greeting) -> News {
         let role = greeting.role;
--- a/src/forwarded/agent.rs
+++ b/src/forwarded/agent.rs
@@ -182,10 +182,8 @@
     }
 
     fn learn(&mut self, seeds: &[NodeAddress]) {
-        let now = Instant::now();
-        for seed in seeds {
-            self.agent.mesh_mut().learn(now, *seed);
-        }
+        let mesh = self.agent.mesh_mut();
+        mesh.learn_all(Instant::now(), seeds.iter().copied());
     }
 
     fn stop(&mut self) {
@@ -348,39 +346,25 @@
             let (role, theirs) = (datagram.greeting.role, datagram.greeting.index);
             let mesh = self.agent.mesh_mut();
             let news = mesh.on_greeting(now, from, datagram.greeting);
-            for node in datagram.nodes {
-                mesh.learn(now, node);
-            }
-            if news.is_new || news.restarted {
-                let event = if news.restarted {
-                    "node restarted"
-                } else {
-                    "node heard"
-                };
-                self.journal
-                    .event(Event::new(event).about(&format!("{role} {from}")));
-            }
+            mesh.learn_all(now, datagram.nodes);
+            self.journal.node(NodeAddress { ip: from, role }, news);
             if role == NodeRole::Control {
-                self.fetcher.on_index(from, theirs, self.agent.map().index);
+                let own = self.agent.map().index;
+                self.fetcher.on_index(from, theirs, own);
             }
             self.agent.on_places(now, from, datagram.places);
         }
     }
 
     fn on_fetched(&mut self, fetched: Fetched) {
-        match fetched.result {
-            Ok(map) => {
-                let index = map.index.get();
-                if self.agent.on_map(Arc::new(map)) {
-                    self.metrics.config_index.set(index.cast_signed());
-                    let event = Event::new("configuration in force").about(&fetched.from);
-                    self.journal.event(event.at(index));
-                }
-            }
-            Err(e) => {
-                let event = Event::new("configuration not fetched").about(&fetched.from);
-                self.journal.event(event.with(&e));
-            }
+        let from = fetched.from;
+        if let Some(map) = fetched.into_map(&mut self.journal)
+            && self.agent.on_map(Arc::clone(&map))
+        {
+            let index = map.index.get();
+            self.metrics.config_index.set(index.cast_signed());
+            let event = Event::new("configuration in force").about(&from);
+            self.journal.event(event.at(index));
         }
         self.tell_of_change(Instant::now());
     }
--- a/src/forwarded/balancer.rs
+++ b/src/forwarded/balancer.rs
@@ -112,10 +112,8 @@
     }
 
     fn learn(&mut self, seeds: &[NodeAddress]) {
-        let now = Instant::now();
-        for seed in seeds {
-            self.balancer.mesh_mut().learn(now, *seed);
-        }
+        let mesh = self.balancer.mesh_mut();
+        mesh.learn_all(Instant::now(), seeds.iter().copied());
     }
 
     fn stop(&mut self) {
@@ -164,40 +162,25 @@
             let (role, theirs) = (datagram.greeting.role, datagram.greeting.index);
             let mesh = self.balancer.mesh_mut();
             let news = mesh.on_greeting(now, from, datagram.greeting);
-            for node in datagram.nodes {
-                mesh.learn(now, node);
-            }
-            if news.is_new || news.restarted {
-                let event = if news.restarted {
-                    "node restarted"
-                } else {
-                    "node heard"
-                };
-                self.journal
-                    .event(Event::new(event).about(&format!("{role} {from}")));
-            }
+            mesh.learn_all(now, datagram.nodes);
+            self.journal.node(NodeAddress { ip: from, role }, news);
             if role == NodeRole::Control {
-                self.fetcher
-                    .on_index(from, theirs, self.balancer.map().index);
+                let own = self.balancer.map().index;
+                self.fetcher.on_index(from, theirs, own);
             }
             self.balancer.on_places(from, datagram.places);
         }
     }
 
     fn on_fetched(&mut self, fetched: Fetched) {
-        match fetched.result {
-            Ok(map) => {
-                let index = map.index.get();
-                if self.balancer.on_map(Arc::new(map)) {
-                    self.metrics.config_index.set(index.cast_signed());
-                    let event = Event::new("configuration in force").about(&fetched.from);
-                    self.journal.event(event.at(index));
-                }
-            }
-            Err(e) => {
-                let event = Event::new("configuration not fetched").about(&fetched.from);
-                self.journal.event(event.with(&e));
-            }
+        let from = fetched.from;
+        if let Some(map) = fetched.into_map(&mut self.journal)
+            && self.balancer.on_map(Arc::clone(&map))
+        {
+            let index = map.index.get();
+            self.metrics.config_index.set(index.cast_signed());
+            let event = Event::new("configuration in force").about(&from);
+            self.journal.event(event.at(index));
         }
     }
 
--- a/src/forwarded/control.rs
+++ b/src/forwarded/control.rs
@@ -240,13 +240,9 @@
     hasher.finish()
 }
 
-fn node_number(ip: Ipv4Addr) -> NodeId {
-    NodeId::new(ip.to_bits().into())
-}
-
 /// The number of the host at `ip`.
 pub fn node_of(ip: Ipv4Addr) -> NodeId {
-    node_number(ip)
+    NodeId::new(ip.to_bits().into())
 }
 
 /// Finds the host's place among the control hosts.
@@ -288,7 +284,7 @@
             role: MemberRole::Voter,
             replaces: None,
             node: match address.ip() {
-                std::net::IpAddr::V4(ip) => node_number(ip),
+                std::net::IpAddr::V4(ip) => node_of(ip),
                 std::net::IpAddr::V6(_) => NodeId::default(),
             },
             address: *address,
@@ -429,11 +425,8 @@
         }
     }
 
-    fn learn(&mut self, seeds: &[NodeAddress]) {
-        let now = Instant::now();
-        for seed in seeds {
-            self.mesh.learn(now, *seed);
-        }
+    fn learn(&mut self, nodes: &[NodeAddress]) {
+        self.mesh.learn_all(Instant::now(), nodes.iter().copied());
     }
 
     fn on_config(&mut self) {
@@ -475,15 +468,7 @@
             let now = Instant::now();
             let role = datagram.greeting.role;
             let news = self.mesh.on_greeting(now, from, datagram.greeting);
-            if news.is_new || news.restarted {
-                let event = if news.restarted {
-                    "node restarted"
-                } else {
-                    "node heard"
-                };
-                self.journal
-                    .event(Event::new(event).about(&format!("{role} {from}")));
-            }
+            self.journal.node(NodeAddress { ip: from, role }, news);
             if role != NodeRole::Control {
                 let nodes = self.known(now);
                 self.greet(now, from, nodes);
--- a/src/forwarded/datagrams.rs
+++ b/src/forwarded/datagrams.rs
@@ -7,9 +7,11 @@
 use dogwoodrill_core::forwarded::mesh::{Boot, Greeting, Mesh, NodeAddress, ServerReport};
 use dogwoodrill_core::forwarded::node::NodeSettings;
 use dogwoodrill_core::ids::LogIndex;
+use dogwoodrill_wire::convert::ConvertError;
 use dogwoodrill_wire::convert::forwarded::Datagram;
 use dogwoodrill_wire::proto::forwarded as wire;
 use prost::Message;
+use snafu::Snafu;
 use tokio::net::UdpSocket;
 
 use super::packets;
@@ -24,8 +26,27 @@
     port: u16,
     boot: Boot,
     own: NodeAddress,
-    /// Datagrams that could not be read.
-    pub unreadable: u64,
+}
+
+/// Why a datagram was left out.
+#[derive(Debug, Snafu)]
+enum Unreadable {
+    /// It is no message.
+    #[snafu(transparent)]
+    Decode {
+        /// What the decoder said.
+        source: prost::DecodeError,
+    },
+    /// The message makes no sense.
+    #[snafu(transparent)]
+    Convert {
+        /// Why.
+        source: ConvertError,
+    },
+}
+
+fn read(bytes: &[u8]) -> Result<Datagram, Unreadable> {
+    Ok(wire::Datagram::decode(bytes)?.try_into()?)
 }
 
 impl Datagrams {
@@ -40,7 +61,6 @@
                 ip: settings.ip,
                 role: settings.role.role(),
             },
-            unreadable: 0,
         })
     }
 
@@ -55,21 +75,20 @@
     }
 
     /// Takes one datagram that has come; none if there is no more.
-    pub fn take(&mut self, buf: &mut [u8]) -> Option<(Ipv4Addr, Datagram)> {
+    pub fn take(&self, buf: &mut [u8]) -> Option<(Ipv4Addr, Datagram)> {
         loop {
             let (from, bytes) = packets::take(&self.socket, buf)?;
-            let read = wire::Datagram::decode(&*bytes).ok();
-            match read.and_then(|d| Datagram::try_from(d).ok()) {
-                Some(datagram) => return Some((from, datagram)),
-                None => self.unreadable += 1,
+            match read(bytes) {
+                Ok(datagram) => return Some((from, datagram)),
+                Err(e) => log::warn!("a datagram of {from} was left out: {e}"),
             }
         }
     }
 
     /// Sends to a node; what does not arrive is said again by the next greeting.
-    pub fn send(&self, to: Ipv4Addr, datagram: &Datagram) -> bool {
+    pub fn send(&self, to: Ipv4Addr, datagram: &Datagram) {
         let bytes = wire::Datagram::from(datagram).encode_to_vec();
-        packets::send(&self.socket, SocketAddrV4::new(to, self.port), &bytes)
+        packets::send(&self.socket, SocketAddrV4::new(to, self.port), &bytes);
     }
 
     /// What the node says of itself with every message to `to`.
--- a/src/forwarded/fetch.rs
+++ b/src/forwarded/fetch.rs
@@ -1,6 +1,7 @@
 //! Fetches the configuration from a control host that is said to have a newer one.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 use dogwoodrill_core::forwarded::service_map::ServiceMap;
@@ -12,6 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use super::journal::{Event, Journal};
 use crate::context::Cx;
 use crate::transport;
 
@@ -56,6 +58,20 @@
     pub result: Result<ServiceMap, FetchError>,
 }
 
+impl Fetched {
+    /// The configuration, with a line in the log if there is none.
+    pub fn into_map(self, journal: &mut Journal) -> Option<Arc<ServiceMap>> {
+        match self.result {
+            Ok(map) => Some(Arc::new(map)),
+            Err(e) => {
+                let event = Event::new("configuration not fetched").about(&self.from);
+                journal.event(event.with(&e));
+                None
+            }
+        }
+    }
+}
+
 /// Fetches, one at a time.
 #[derive(Debug)]
 pub struct Fetcher {
--- a/src/forwarded/journal.rs
+++ b/src/forwarded/journal.rs
@@ -10,6 +10,7 @@
 use std::thread;
 
 use dogwoodrill_core::forwarded::decision::Decision;
+use dogwoodrill_core::forwarded::mesh::{News, NodeAddress};
 use serde::Serialize;
 
 use crate::context::wall_clock;
@@ -159,6 +160,19 @@
         self.line(event);
     }
 
+    /// Writes what is new about a node that was heard.
+    pub fn node(&mut self, node: NodeAddress, news: News) {
+        let event = match news {
+            News {
+                restarted: true, ..
+            } => "node restarted",
+            News { is_new: true, .. } => "node heard",
+            News { .. } => return,
+        };
+        let subject = format!("{} {}", node.role, node.ip);
+        self.event(Event::new(event).about(&subject));
+    }
+
     /// Writes decisions, as many as one flush may hold.
     pub fn decisions(&mut self, decisions: Vec<Decision>) {
         for decision in decisions {
--- a/src/forwarded/packets.rs
+++ b/src/forwarded/packets.rs
@@ -32,12 +32,17 @@
             Ok((_, SocketAddr::V6(_))) => {}
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
             // The error belongs to a datagram sent before, whose receiver is not there.
-            Err(_) => return None,
+            Err(e) => {
+                log::info!("a datagram did not arrive: {e}");
+                return None;
+            }
         }
     }
 }
 
 /// Sends a datagram; one that the socket has no room for is lost, as it could be on its way.
-pub fn send(socket: &UdpSocket, to: SocketAddrV4, packet: &[u8]) -> bool {
-    socket.try_send_to(packet, SocketAddr::V4(to)).is_ok()
+pub fn send(socket: &UdpSocket, to: SocketAddrV4, packet: &[u8]) {
+    if let Err(e) = socket.try_send_to(packet, SocketAddr::V4(to)) {
+        log::warn!("a packet to {to} was not sent: {e}");
+    }
 }
