--- /dev/null
+++ b/crates/core/src/forwarded/agent/location.rs
@@ -0,0 +1,219 @@
+//! Where a flow is: at this agent, at one that its keepers know, or at nobody's.
+
+use std::net::Ipv4Addr;
+use std::time::Instant;
+
+use bytes::Bytes;
+
+use super::{Action, Agent, Fate, Flow, IDLE_TTL, Work};
+use crate::forwarded::decision::{Decision, Step};
+use crate::forwarded::keepers::{FlowPlace, Keepers};
+use crate::forwarded::node::NodeRole;
+use crate::forwarded::packet::{FlowKey, Header, Purpose, Trail};
+use crate::forwarded::service_map::ServiceLabel;
+
+/// How often any packet is passed on between agents; a bound on loops between stale views.
+const MAX_FOLLOWING_HOPS: u8 = 6;
+/// Agents that a packet of an unknown flow is sent to.
+const MAX_SEARCHED: usize = 16;
+/// Flows that keepers are told of anew in one tick.
+const RETOLD_PER_TICK: usize = 64;
+
+impl Agent {
+    /// The packet belongs to a flow that is not here.
+    pub(super) fn locate(&mut self, now: Instant, header: &Header, packet: &[u8]) -> Fate {
+        let key = header.caller_flow();
+        let trail = header.trail;
+        if let Some(to) = self.redirect(now, key) {
+            return Self::follow(to, trail, Purpose::Placed);
+        }
+        let own = self.mesh.own().ip;
+        let holder = self.directory.find(key, header.ack);
+        match trail.purpose {
+            // The flow opened at another server, whose agent the keeper did not hear of.
+            Purpose::Kept | Purpose::Search if self.flows.contains_key(&key) => Fate::Drop,
+            // All servers of the service get it, among them its own.
+            Purpose::Search if !self.may_hold_unknown(now) => Fate::Drop,
+            Purpose::Search | Purpose::Kept => self.adopt(now, header),
+            Purpose::Placed | Purpose::FirstKeeper | Purpose::SecondKeeper
+                if holder == Some(own) =>
+            {
+                self.adopt(now, header)
+            }
+            purpose => match holder {
+                Some(to) => Self::follow(to, trail, Purpose::Kept),
+                None => self.ask_on(now, header, packet, purpose),
+            },
+        }
+    }
+
+    pub(super) fn ask_on(
+        &mut self,
+        now: Instant,
+        header: &Header,
+        packet: &[u8],
+        purpose: Purpose,
+    ) -> Fate {
+        let key = header.caller_flow();
+        let own = self.mesh.own().ip;
+        let Keepers { first, second } = self.mesh.ring().keepers(key);
+        let first = first.filter(|ip| *ip != own);
+        let second = second.filter(|ip| *ip != own);
+        if purpose == Purpose::Placed && self.may_hold_unknown(now) {
+            return self.adopt(now, header);
+        }
+        match purpose {
+            Purpose::Placed if first.is_some() => {
+                Self::follow(first.unwrap_or(own), header.trail, Purpose::FirstKeeper)
+            }
+            Purpose::Placed | Purpose::FirstKeeper if second.is_some() => {
+                Self::follow(second.unwrap_or(own), header.trail, Purpose::SecondKeeper)
+            }
+            _ => self.search(now, header, packet),
+        }
+    }
+
+    pub(super) fn follow(to: Ipv4Addr, trail: Trail, purpose: Purpose) -> Fate {
+        if trail.hops >= MAX_FOLLOWING_HOPS {
+            return Fate::Drop;
+        }
+        let trail = Trail {
+            hops: trail.hops + 1,
+            purpose,
+            ..trail
+        };
+        Fate::Forward { to, trail }
+    }
+
+    /// The keepers do not know the flow; whoever holds it takes the packet.
+    pub(super) fn search(&mut self, now: Instant, header: &Header, packet: &[u8]) -> Fate {
+        let key = header.caller_flow();
+        if self.searches_left == 0 || header.trail.hops >= MAX_FOLLOWING_HOPS {
+            return Fate::Drop;
+        }
+        self.searches_left -= 1;
+        let route = self.map.route(key.service);
+        let serves = |service: &ServiceLabel| route.is_some_and(|r| r.allows(service));
+        let live = self.mesh.live(now, NodeRole::Agent);
+        let live =
+            live.filter(|(_, k)| k.report.as_ref().is_some_and(|h| serves(&h.report.service)));
+        let trail = Trail {
+            hops: header.trail.hops + 1,
+            purpose: Purpose::Search,
+            ..header.trail
+        };
+        let packet = Bytes::copy_from_slice(packet);
+        let asked = live.take(MAX_SEARCHED).map(|(to, _)| Action::Forward {
+            to,
+            trail,
+            packet: packet.clone(),
+        });
+        self.actions.extend(asked);
+        self.decide(Decision {
+            hops: header.trail.hops,
+            ..Decision::new(Step::Searched, key, self.map.index)
+        });
+        Fate::Drop
+    }
+
+    /// Whether flows may be open at the server that the agent, which started later, does not know.
+    pub(super) fn may_hold_unknown(&self, now: Instant) -> bool {
+        self.server.is_older() && now < self.started_at + self.max_flow_age
+    }
+
+    /// A flow that others say is here. An agent that started lately leaves it to the server, which
+    /// hands back what it does not hold.
+    pub(super) fn adopt(&mut self, now: Instant, header: &Header) -> Fate {
+        let key = header.caller_flow();
+        if !self.may_hold_unknown(now) {
+            self.decide(Decision {
+                hops: header.trail.hops,
+                ..Decision::new(Step::UnknownFlow, key, self.map.index)
+            });
+            return Fate::Drop;
+        }
+        let end = header.seq.wrapping_add(u32::from(header.len));
+        let flow = self.flow_found_open(now, header.trail, header.ack, end);
+        self.flows.entry(key).or_insert(flow);
+        Fate::Deliver
+    }
+
+    pub(super) fn flow_found_open(&self, now: Instant, trail: Trail, ack: u32, next: u32) -> Flow {
+        Flow {
+            life: self.server.life(),
+            is_open: true,
+            server_seq: None,
+            answered_at: None,
+            opening: None,
+            request: None,
+            trail,
+            work: Work::Idle,
+            caller_next: next,
+            caller_ack: ack,
+            caller_ended: false,
+            server_ended: false,
+            keepers: Keepers::default(),
+            forget_at: now + IDLE_TTL,
+        }
+    }
+
+    pub(super) fn tell_balancer(&mut self, key: FlowKey, trail: Trail) {
+        let direct = trail.hops == 0 && trail.purpose == Purpose::Placed;
+        if direct || trail.balancer.is_unspecified() {
+            return;
+        }
+        let flow = self.flows.get(&key);
+        if let Some(server_seq) = flow.and_then(|f| f.server_seq) {
+            let place = FlowPlace {
+                flow: key,
+                server_seq,
+            };
+            let to = trail.balancer;
+            self.actions.push(Action::TellBalancer { to, place });
+        }
+    }
+
+    pub(super) fn tell_keepers(&mut self, key: FlowKey) {
+        let keepers = self.mesh.ring().keepers(key);
+        let own = self.mesh.own().ip;
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        let Some(server_seq) = flow.server_seq else {
+            return;
+        };
+        flow.keepers = keepers;
+        let place = FlowPlace {
+            flow: key,
+            server_seq,
+        };
+        let others = keepers.iter().filter(|to| *to != own);
+        self.actions
+            .extend(others.map(|to| Action::TellKeeper { to, place }));
+    }
+
+    /// `agent` says which flows are at it.
+    pub fn on_places(
+        &mut self,
+        now: Instant,
+        agent: Ipv4Addr,
+        places: impl IntoIterator<Item = FlowPlace>,
+    ) {
+        for place in places {
+            self.directory
+                .on_place(now, agent, place, self.max_flow_age);
+        }
+    }
+
+    /// Tells keepers that came anew of the flows here, some at a time.
+    pub(super) fn retell(&mut self) {
+        if self.retold_version != self.mesh.ring_version() {
+            self.retold_version = self.mesh.ring_version();
+            self.to_retell = self.flows.keys().copied().collect();
+        }
+        let left = self.to_retell.len().saturating_sub(RETOLD_PER_TICK);
+        for key in self.to_retell.split_off(left) {
+            self.tell_keepers(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/forwarded/agent/openings.rs
@@ -0,0 +1,336 @@
+//! Opening packets: the gate, passing on, waiting, refusing.
+
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use rand::Rng;
+
+use super::{Action, Agent, Fate, Flow, OPENING_TTL, Redirect, Work};
+use crate::forwarded::decision::{Decision, Reason, Step};
+use crate::forwarded::gate::{self, Fullness};
+use crate::forwarded::keepers::Keepers;
+use crate::forwarded::packet::{FlowKey, Header, Purpose, Trail};
+use crate::forwarded::placement::{self, Candidate};
+use crate::forwarded::service_map::ServiceLabel;
+use crate::forwarded::waiting::Waiting;
+
+/// How often an opening packet is passed on between agents.
+const MAX_HOPS: u8 = 3;
+/// Time for a server to answer an opening packet; it does so without working on a request.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
+/// Time for which a flow's redirection is remembered: as long as the caller sends copies.
+const REDIRECT_TTL: Duration = Duration::from_secs(3);
+/// Time by which a peer must be done earlier to get an opening packet: the way there, and what may have
+/// changed since it reported.
+const PASS_ON_MARGIN: Duration = Duration::from_millis(8);
+
+impl Agent {
+    pub(super) fn on_opening(
+        &mut self,
+        now: Instant,
+        from: Ipv4Addr,
+        header: &Header,
+        packet: &[u8],
+    ) -> Fate {
+        let key = header.caller_flow();
+        if let Some(to) = self.copy_redirect(now, header).filter(|to| *to != from) {
+            return Self::forward_opening(to, header.trail);
+        }
+        if let Some(flow) = self.flows.get_mut(&key) {
+            // The answer may have been lost; the server gives it again.
+            flow.forget_at = flow.forget_at.max(now + OPENING_TTL);
+            return if flow.is_open {
+                Fate::Drop
+            } else {
+                Fate::Deliver
+            };
+        }
+        if self.waiting.contains(key) {
+            return Fate::Drop;
+        }
+        let barred = gate::barred(now, &self.map, &self.server, key);
+        let barred = match barred {
+            Some(Reason::Silent) if self.server.take_trial(now) => None,
+            barred => barred,
+        };
+        let reason = barred.or_else(|| self.is_stopping.then_some(Reason::Draining));
+        let reason = reason.or_else(|| self.cold_reason(now));
+        if let Some(reason) = reason {
+            return self.pass_on(now, from, header, reason);
+        }
+        let least = self.completion().saturating_sub(PASS_ON_MARGIN);
+        match self.peer(now, from, key, Some(least)) {
+            Some(to) if header.trail.hops < MAX_HOPS => {
+                self.redirect_to(now, to, header, Reason::Busy)
+            }
+            _ if self.waiting.is_empty() && self.has_room(key) => self.accept(now, header, packet),
+            _ => self.wait(now, header, packet),
+        }
+    }
+
+    /// When a request that came now would be done here.
+    pub(super) fn completion(&self) -> Duration {
+        placement::completion(self.work.time(), self.asked_for(), self.slots())
+    }
+
+    /// Requests at the server, on their way to it, and waiting for it.
+    pub(super) fn asked_for(&self) -> u32 {
+        let waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
+        self.busy.saturating_add(waiting)
+    }
+
+    /// Whether the server takes another request of that flow's kind.
+    pub(super) fn has_room(&self, key: FlowKey) -> bool {
+        let terms = self.map.route(key.service).map(|r| r.terms);
+        let target = terms.map_or(Duration::ZERO, |t| t.target);
+        let fullness = gate::fullness(self.work.time(), self.busy, self.slots(), target);
+        fullness == Fullness::Room
+    }
+
+    pub(super) fn wait(&mut self, now: Instant, header: &Header, packet: &[u8]) -> Fate {
+        let key = header.caller_flow();
+        let terms = self.map.route(key.service).map(|r| r.terms);
+        let wait = self.completion();
+        let waits = terms.is_some_and(|t| self.waiting.enter(now, header, packet, t, wait));
+        if !waits {
+            return self.refuse(now, header, Reason::Busy);
+        }
+        self.decide(Decision {
+            busy: Some(self.asked_for()),
+            hops: header.trail.hops,
+            ..Decision::new(Step::Waits, key, self.map.index)
+        });
+        Fate::Drop
+    }
+
+    /// Gives the server what waits for it, as far as it has room.
+    pub(super) fn admit(&mut self, now: Instant) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        for w in self.waiting.expired(now) {
+            self.refuse(now, &w.header, Reason::Busy);
+        }
+        let takes_none = self.server.closed(now).is_some() || self.is_stopping;
+        while let Some(key) = self.waiting.next(now, self.work.time()) {
+            if !takes_none && !self.has_room(key) {
+                return;
+            }
+            let Some(w) = self.waiting.leave(key) else {
+                return;
+            };
+            let barred = gate::barred(now, &self.map, &self.server, key);
+            if let Some(reason) = barred.or_else(|| self.is_stopping.then_some(Reason::Draining)) {
+                self.pass_on_kept(now, &w, reason);
+            } else {
+                self.accept(now, &w.header, &w.packet);
+                self.actions.push(Action::Deliver(w.packet));
+            }
+        }
+    }
+
+    pub(super) fn pass_on_kept(&mut self, now: Instant, w: &Waiting, reason: Reason) {
+        let own = self.mesh.own().ip;
+        if let Fate::Forward { to, trail } = self.pass_on(now, own, &w.header, reason) {
+            let packet = w.packet.clone();
+            self.actions.push(Action::Forward { to, trail, packet });
+        }
+    }
+
+    pub(super) fn cold_reason(&mut self, now: Instant) -> Option<Reason> {
+        if !self.server.is_cold(now) {
+            return None;
+        }
+        let service = &self.server.statement()?.service;
+        let rate = self.map.terms(service).cold_rate?;
+        (!self.cold.take(now, rate)).then_some(Reason::Cold)
+    }
+
+    pub(super) fn slots(&self) -> u32 {
+        self.server.statement().map_or(1, |s| s.slots)
+    }
+
+    pub(super) fn accept(&mut self, now: Instant, header: &Header, packet: &[u8]) -> Fate {
+        let key = header.caller_flow();
+        let flow = Flow {
+            life: self.server.life(),
+            is_open: false,
+            server_seq: None,
+            answered_at: None,
+            opening: Some(Bytes::copy_from_slice(packet)),
+            request: None,
+            trail: header.trail,
+            work: Work::Expected {
+                until: now + OPENING_TTL,
+            },
+            caller_next: header.seq.wrapping_add(1),
+            caller_ack: 0,
+            caller_ended: false,
+            server_ended: false,
+            keepers: Keepers::default(),
+            forget_at: now + OPENING_TTL,
+        };
+        self.busy += 1;
+        self.flows.insert(key, flow);
+        self.unanswered.push_back((now + ANSWER_TIMEOUT, key));
+        self.expected.push_back((now + OPENING_TTL, key));
+        let age = self.server.age(now);
+        self.decide(Decision {
+            age,
+            busy: Some(self.busy),
+            work: self.work.measured(),
+            hops: header.trail.hops,
+            ..Decision::new(Step::Accepted, key, self.map.index)
+        });
+        Fate::Deliver
+    }
+
+    /// The server must not get the packet. A peer gets it, and where there is none the caller is told
+    /// at once.
+    pub(super) fn pass_on(
+        &mut self,
+        now: Instant,
+        from: Ipv4Addr,
+        header: &Header,
+        reason: Reason,
+    ) -> Fate {
+        let key = header.caller_flow();
+        let peer = self.peer(now, from, key, None);
+        if let Some(to) = peer.filter(|_| header.trail.hops < MAX_HOPS) {
+            return self.redirect_to(now, to, header, reason);
+        }
+        self.refuse(now, header, reason)
+    }
+
+    /// The caller is told that its flow was not opened, so that it can decide what to do next.
+    pub(super) fn refuse(&mut self, now: Instant, header: &Header, reason: Reason) -> Fate {
+        let key = header.caller_flow();
+        self.decide(Decision {
+            reason: Some(reason),
+            age: self.server.age(now),
+            busy: Some(self.busy),
+            hops: header.trail.hops,
+            ..Decision::new(Step::Refused, key, self.map.index)
+        });
+        if reason != Reason::NoMap {
+            self.actions.push(Action::Reset { flow: key, seq: 0 });
+        }
+        Fate::Drop
+    }
+
+    /// The service that a flow to this agent is for: the own one if its route allows that.
+    pub(super) fn service_of(&mut self, key: FlowKey) -> Option<ServiceLabel> {
+        let draw = self.rng.random();
+        let route = self.map.route(key.service)?;
+        let own = self.server.statement().map(|s| &s.service);
+        let own = own.filter(|service| route.allows(service));
+        own.or_else(|| route.pick(draw)).cloned()
+    }
+
+    /// A peer that may take the flow, and would be done with it before `least` where that is given.
+    pub(super) fn peer(
+        &mut self,
+        now: Instant,
+        from: Ipv4Addr,
+        key: FlowKey,
+        least: Option<Duration>,
+    ) -> Option<Ipv4Addr> {
+        let service = self.service_of(key)?;
+        let zone = self.server.statement().map(|s| s.zone.clone());
+        let map = &self.map;
+        let open = self.mesh.open_agents(now, &service);
+        let open = open.filter(|(ip, heard)| *ip != from && map.is_zone_in(&heard.report.zone));
+        let open = open.filter(|(_, h)| least.is_none_or(|least| placement::expected(h) < least));
+        let candidates = open.map(|(agent, heard)| Candidate { agent, heard });
+        let chosen = match &zone {
+            Some(zone) => placement::choose(&mut self.rng, candidates, zone)?,
+            None => candidates.min_by_key(|c| placement::expected(c.heard))?,
+        };
+        Some(chosen.agent)
+    }
+
+    pub(super) fn redirect_to(
+        &mut self,
+        now: Instant,
+        to: Ipv4Addr,
+        header: &Header,
+        why: Reason,
+    ) -> Fate {
+        let key = header.caller_flow();
+        let until = now + REDIRECT_TTL;
+        let copy = header.ack;
+        self.redirects.insert(key, Redirect { to, copy, until });
+        self.mesh.on_placed(to);
+        self.decide(Decision {
+            node: Some(to),
+            reason: Some(why),
+            busy: Some(self.busy),
+            age: self.mesh.heard_age(now, to),
+            hops: header.trail.hops,
+            ..Decision::new(Step::PassedOn, key, self.map.index)
+        });
+        Self::forward_opening(to, header.trail)
+    }
+
+    /// Where an earlier copy of an opening packet went. The same copy again was handed on by those to
+    /// whom it went, so it is judged anew: redirections must not form a ring.
+    pub(super) fn copy_redirect(&self, now: Instant, header: &Header) -> Option<Ipv4Addr> {
+        let key = header.caller_flow();
+        let is_later = self
+            .redirects
+            .get(&key)
+            .is_some_and(|r| header.ack > r.copy);
+        let may_follow = is_later && header.trail.hops < MAX_HOPS;
+        self.redirect(now, key).filter(|_| may_follow)
+    }
+
+    pub(super) const fn forward_opening(to: Ipv4Addr, trail: Trail) -> Fate {
+        let trail = Trail {
+            hops: trail.hops + 1,
+            purpose: Purpose::Placed,
+            ..trail
+        };
+        Fate::Forward { to, trail }
+    }
+
+    pub(super) fn redirect(&self, now: Instant, key: FlowKey) -> Option<Ipv4Addr> {
+        let redirect = self.redirects.get(&key)?;
+        let holds = now < redirect.until && self.mesh.is_live(now, redirect.to);
+        holds.then_some(redirect.to)
+    }
+
+    /// Opening packets that the server left unanswered go to a peer as well.
+    pub(super) fn offer_unanswered(&mut self, now: Instant) {
+        while let Some((at, key)) = self.unanswered.front().copied()
+            && at <= now
+        {
+            self.unanswered.pop_front();
+            let opening = self.flows.get_mut(&key).and_then(|f| f.opening.take());
+            let Some(packet) = opening else {
+                continue;
+            };
+            self.server.on_unanswered(now);
+            let trail = self.flows[&key].trail;
+            self.set_work(key, Work::Idle);
+            self.decide(Decision {
+                age: self.server.age(now),
+                busy: Some(self.busy),
+                ..Decision::new(Step::Unanswered, key, self.map.index)
+            });
+            let peer = self.peer(now, self.mesh.own().ip, key, None);
+            let Some(to) = peer.filter(|_| trail.hops < MAX_HOPS) else {
+                continue;
+            };
+            let until = now + REDIRECT_TTL;
+            let copy = 0;
+            self.redirects.insert(key, Redirect { to, copy, until });
+            let trail = Trail {
+                hops: trail.hops + 1,
+                purpose: Purpose::Placed,
+                ..trail
+            };
+            self.actions.push(Action::Forward { to, trail, packet });
+        }
+    }
+}
--- a/src/forwarded/journal.rs
+++ b/src/forwarded/journal.rs
@@ -145,7 +145,8 @@
         Self::with_sender(node, tx)
     }
 
-    fn with_sender(node: &str, tx: SyncSender<Vec<u8>>) -> Self {
+    /// Makes a journal whose lines go to `tx`, gathered, whenever it is flushed.
+    pub fn with_sender(node: &str, tx: SyncSender<Vec<u8>>) -> Self {
         Self {
             node: node.to_owned(),
             buf: Vec::new(),
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -48,6 +48,7 @@
       balancer      run a balancer: forward packets of callers
       agent         run an agent: end flows beside a backend server
       control       run a control host: keep what operators decide
+      node          run a process of the platform
       check-config  find all faults of settings files
       profile       read and change profiles
       zone          take availability zones out and in
--- /dev/null
+++ b/tests/testsuite/journal.rs
@@ -0,0 +1,76 @@
+//! The log of decisions: bounded, never waiting, and saying what it left out.
+
+use std::sync::mpsc::{Receiver, sync_channel};
+
+use dogwoodrill::forwarded::journal::{Event, Journal};
+use dogwoodrill_core::forwarded::decision::{Decision, Reason, Step};
+use dogwoodrill_core::forwarded::packet::FlowKey;
+use dogwoodrill_core::ids::LogIndex;
+
+fn decision(port: u16) -> Decision {
+    let flow = FlowKey {
+        caller: format!("100.64.0.7:{port}").parse().unwrap(),
+        service: "198.18.0.1:443".parse().unwrap(),
+    };
+    Decision {
+        node: Some("10.1.0.9".parse().unwrap()),
+        reason: Some(Reason::Busy),
+        service: Some("orders \"and more\"".into()),
+        busy: Some(6),
+        hops: 2,
+        ..Decision::new(Step::PassedOn, flow, LogIndex::new(25))
+    }
+}
+
+fn lines(rx: &Receiver<Vec<u8>>) -> Vec<serde_json::Value> {
+    let text = String::from_utf8(rx.try_recv().unwrap()).unwrap();
+    text.lines()
+        .map(|l| serde_json::from_str(l).unwrap())
+        .collect()
+}
+
+#[test]
+fn a_decision_is_one_line_with_its_inputs() {
+    let (tx, rx) = sync_channel(1);
+    let mut journal = Journal::with_sender("side-1", tx);
+    journal.decisions(vec![decision(40_001)]);
+    journal.flush();
+    let mut line = lines(&rx).remove(0);
+    assert!(line["t"].take().is_u64());
+    let expected = serde_json::json!({
+        "t": null, "node": "side-1", "event": "passed on", "flow": "100.64.0.7:40001>198.18.0.1:443",
+        "config": 25, "to": "10.1.0.9", "why": "server busy", "service": "orders \"and more\"", "busy": 6,
+        "hops": 2
+    });
+    assert_eq!(line, expected);
+}
+
+/// A flood of packets costs a bounded number of lines, and the next line says what is missing.
+#[test]
+fn a_flood_leaves_lines_out_and_says_so() {
+    let (tx, rx) = sync_channel(2);
+    let mut journal = Journal::with_sender("side-1", tx);
+    journal.decisions((0..1_000).map(decision).collect());
+    journal.flush();
+    let first = lines(&rx);
+    assert_eq!(first.len(), 201);
+    assert_eq!(first[200]["event"], "lines left out");
+    assert_eq!(first[200]["detail"], "800");
+    assert_eq!(journal.left_out(), 0);
+}
+
+/// Whoever reads the log has stopped; nothing waits, and what was lost is counted.
+#[test]
+fn a_reader_that_stands_still_holds_nobody_up() {
+    let (tx, rx) = sync_channel(1);
+    let mut journal = Journal::with_sender("side-1", tx);
+    for n in 0..3 {
+        journal.event(Event::new("node heard").about(&n));
+        journal.flush();
+    }
+    // The second and third could not be handed over; the third had a line on the second with it.
+    assert_eq!(journal.left_out(), 2);
+    assert_eq!(lines(&rx)[0]["subject"], "0");
+    journal.flush();
+    assert_eq!(lines(&rx)[0]["event"], "lines left out");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod flows;
 mod forwarded;
+mod journal;
 mod load;
 mod monitor;
 mod node_processes;
