--- a/src/bin/dogwoodrill/main.rs
+++ b/src/bin/dogwoodrill/main.rs
@@ -22,9 +22,6 @@
 
 use output::Report;
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 #[derive(Debug, Options)]
 #[options(help = "A layer-4 load balancer for public bodies with few staff.
 
