--- a/crates/core/src/forwarded/agent.rs
+++ b/crates/core/src/forwarded/agent.rs
@@ -342,7 +342,7 @@
         let is_news = header.len > 0 && end.wrapping_sub(flow.caller_next).cast_signed() > 0;
         if is_news {
             flow.caller_next = end;
-            if !matches!(flow.work, Work::Running { .. }) {
+            if !flow.work.is_running() {
                 flow.request = Some(Bytes::copy_from_slice(packet));
             }
             let until = now + WORK_TIMEOUT;
--- a/crates/core/src/forwarded/agent/life.rs
+++ b/crates/core/src/forwarded/agent/life.rs
@@ -46,7 +46,7 @@
 
     /// A new life of the server was heard of. It may have answered flows before it reported: those are
     /// asked after by sending their request again, which a server hands back that does not hold them.
-    pub(super) fn end_earlier_flows(&mut self, now: Instant) {
+    fn end_earlier_flows(&mut self, now: Instant) {
         let current = self.server.life();
         let unreported = self.server.report_interval().mul_f64(UNREPORTED_INTERVALS);
         let earlier = |f: &Flow| f.life < current;
--- a/crates/core/src/forwarded/agent/location.rs
+++ b/crates/core/src/forwarded/agent/location.rs
@@ -47,13 +47,7 @@
         }
     }
 
-    pub(super) fn ask_on(
-        &mut self,
-        now: Instant,
-        header: &Header,
-        packet: &[u8],
-        purpose: Purpose,
-    ) -> Fate {
+    fn ask_on(&mut self, now: Instant, header: &Header, packet: &[u8], purpose: Purpose) -> Fate {
         let key = header.caller_flow();
         let own = self.mesh.own().ip;
         let Keepers { first, second } = self.mesh.ring().keepers(key);
@@ -62,31 +56,25 @@
         if purpose == Purpose::Placed && self.may_hold_unknown(now) {
             return self.adopt(now, header);
         }
-        match purpose {
-            Purpose::Placed if first.is_some() => {
-                Self::follow(first.unwrap_or(own), header.trail, Purpose::FirstKeeper)
-            }
-            Purpose::Placed | Purpose::FirstKeeper if second.is_some() => {
-                Self::follow(second.unwrap_or(own), header.trail, Purpose::SecondKeeper)
+        match (purpose, first, second) {
+            (Purpose::Placed, Some(to), _) => Self::follow(to, header.trail, Purpose::FirstKeeper),
+            (Purpose::Placed | Purpose::FirstKeeper, _, Some(to)) => {
+                Self::follow(to, header.trail, Purpose::SecondKeeper)
             }
             _ => self.search(now, header, packet),
         }
     }
 
-    pub(super) fn follow(to: Ipv4Addr, trail: Trail, purpose: Purpose) -> Fate {
+    fn follow(to: Ipv4Addr, trail: Trail, purpose: Purpose) -> Fate {
         if trail.hops >= MAX_FOLLOWING_HOPS {
             return Fate::Drop;
         }
-        let trail = Trail {
-            hops: trail.hops + 1,
-            purpose,
-            ..trail
-        };
+        let trail = trail.passed_on(purpose);
         Fate::Forward { to, trail }
     }
 
     /// The keepers do not know the flow; whoever holds it takes the packet.
-    pub(super) fn search(&mut self, now: Instant, header: &Header, packet: &[u8]) -> Fate {
+    fn search(&mut self, now: Instant, header: &Header, packet: &[u8]) -> Fate {
         let key = header.caller_flow();
         if self.searches_left == 0 || header.trail.hops >= MAX_FOLLOWING_HOPS {
             return Fate::Drop;
@@ -97,11 +85,7 @@
         let live = self.mesh.live(now, NodeRole::Agent);
         let live =
             live.filter(|(_, k)| k.report.as_ref().is_some_and(|h| serves(&h.report.service)));
-        let trail = Trail {
-            hops: header.trail.hops + 1,
-            purpose: Purpose::Search,
-            ..header.trail
-        };
+        let trail = header.trail.passed_on(Purpose::Search);
         let packet = Bytes::copy_from_slice(packet);
         let asked = live.take(MAX_SEARCHED).map(|(to, _)| Action::Forward {
             to,
@@ -117,13 +101,13 @@
     }
 
     /// Whether flows may be open at the server that the agent, which started later, does not know.
-    pub(super) fn may_hold_unknown(&self, now: Instant) -> bool {
+    fn may_hold_unknown(&self, now: Instant) -> bool {
         self.server.is_older() && now < self.started_at + self.max_flow_age
     }
 
     /// A flow that others say is here. An agent that started lately leaves it to the server, which
     /// hands back what it does not hold.
-    pub(super) fn adopt(&mut self, now: Instant, header: &Header) -> Fate {
+    fn adopt(&mut self, now: Instant, header: &Header) -> Fate {
         let key = header.caller_flow();
         if !self.may_hold_unknown(now) {
             self.decide(Decision {
--- a/crates/core/src/forwarded/agent/openings.rs
+++ b/crates/core/src/forwarded/agent/openings.rs
@@ -70,7 +70,7 @@
     }
 
     /// When a request that came now would be done here.
-    pub(super) fn completion(&self) -> Duration {
+    fn completion(&self) -> Duration {
         placement::completion(self.work.time(), self.asked_for(), self.slots())
     }
 
@@ -81,14 +81,14 @@
     }
 
     /// Whether the server takes another request of that flow's kind.
-    pub(super) fn has_room(&self, key: FlowKey) -> bool {
+    fn has_room(&self, key: FlowKey) -> bool {
         let terms = self.map.route(key.service).map(|r| r.terms);
         let target = terms.map_or(Duration::ZERO, |t| t.target);
         let fullness = gate::fullness(self.work.time(), self.busy, self.slots(), target);
         fullness == Fullness::Room
     }
 
-    pub(super) fn wait(&mut self, now: Instant, header: &Header, packet: &[u8]) -> Fate {
+    fn wait(&mut self, now: Instant, header: &Header, packet: &[u8]) -> Fate {
         let key = header.caller_flow();
         let terms = self.map.route(key.service).map(|r| r.terms);
         let wait = self.completion();
@@ -130,7 +130,7 @@
         }
     }
 
-    pub(super) fn pass_on_kept(&mut self, now: Instant, w: &Waiting, reason: Reason) {
+    fn pass_on_kept(&mut self, now: Instant, w: &Waiting, reason: Reason) {
         let own = self.mesh.own().ip;
         if let Fate::Forward { to, trail } = self.pass_on(now, own, &w.header, reason) {
             let packet = w.packet.clone();
@@ -138,7 +138,7 @@
         }
     }
 
-    pub(super) fn cold_reason(&mut self, now: Instant) -> Option<Reason> {
+    fn cold_reason(&mut self, now: Instant) -> Option<Reason> {
         if !self.server.is_cold(now) {
             return None;
         }
@@ -151,7 +151,7 @@
         self.server.statement().map_or(1, |s| s.slots)
     }
 
-    pub(super) fn accept(&mut self, now: Instant, header: &Header, packet: &[u8]) -> Fate {
+    fn accept(&mut self, now: Instant, header: &Header, packet: &[u8]) -> Fate {
         let key = header.caller_flow();
         let flow = Flow {
             life: self.server.life(),
@@ -204,7 +204,7 @@
     }
 
     /// The caller is told that its flow was not opened, so that it can decide what to do next.
-    pub(super) fn refuse(&mut self, now: Instant, header: &Header, reason: Reason) -> Fate {
+    fn refuse(&mut self, now: Instant, header: &Header, reason: Reason) -> Fate {
         let key = header.caller_flow();
         self.decide(Decision {
             reason: Some(reason),
@@ -220,7 +220,7 @@
     }
 
     /// The service that a flow to this agent is for: the own one if its route allows that.
-    pub(super) fn service_of(&mut self, key: FlowKey) -> Option<ServiceLabel> {
+    fn service_of(&mut self, key: FlowKey) -> Option<ServiceLabel> {
         let draw = self.rng.random();
         let route = self.map.route(key.service)?;
         let own = self.server.statement().map(|s| &s.service);
@@ -229,7 +229,7 @@
     }
 
     /// A peer that may take the flow, and would be done with it before `least` where that is given.
-    pub(super) fn peer(
+    fn peer(
         &mut self,
         now: Instant,
         from: Ipv4Addr,
@@ -250,13 +250,7 @@
         Some(chosen.agent)
     }
 
-    pub(super) fn redirect_to(
-        &mut self,
-        now: Instant,
-        to: Ipv4Addr,
-        header: &Header,
-        why: Reason,
-    ) -> Fate {
+    fn redirect_to(&mut self, now: Instant, to: Ipv4Addr, header: &Header, why: Reason) -> Fate {
         let key = header.caller_flow();
         let until = now + REDIRECT_TTL;
         let copy = header.ack;
@@ -275,7 +269,7 @@
 
     /// Where an earlier copy of an opening packet went. The same copy again was handed on by those to
     /// whom it went, so it is judged anew: redirections must not form a ring.
-    pub(super) fn copy_redirect(&self, now: Instant, header: &Header) -> Option<Ipv4Addr> {
+    fn copy_redirect(&self, now: Instant, header: &Header) -> Option<Ipv4Addr> {
         let key = header.caller_flow();
         let is_later = self
             .redirects
@@ -285,12 +279,8 @@
         self.redirect(now, key).filter(|_| may_follow)
     }
 
-    pub(super) const fn forward_opening(to: Ipv4Addr, trail: Trail) -> Fate {
-        let trail = Trail {
-            hops: trail.hops + 1,
-            purpose: Purpose::Placed,
-            ..trail
-        };
+    const fn forward_opening(to: Ipv4Addr, trail: Trail) -> Fate {
+        let trail = trail.passed_on(Purpose::Placed);
         Fate::Forward { to, trail }
     }
 
@@ -325,11 +315,7 @@
             let until = now + REDIRECT_TTL;
             let copy = 0;
             self.redirects.insert(key, Redirect { to, copy, until });
-            let trail = Trail {
-                hops: trail.hops + 1,
-                purpose: Purpose::Placed,
-                ..trail
-            };
+            let trail = trail.passed_on(Purpose::Placed);
             self.actions.push(Action::Forward { to, trail, packet });
         }
     }
--- a/crates/core/src/forwarded/packet.rs
+++ b/crates/core/src/forwarded/packet.rs
@@ -116,6 +116,16 @@
             purpose,
         }
     }
+
+    /// The trail of the packet once an agent has passed it on for `purpose`.
+    #[must_use]
+    pub const fn passed_on(self, purpose: Purpose) -> Self {
+        Self {
+            hops: self.hops + 1,
+            purpose,
+            ..self
+        }
+    }
 }
 
 /// What the decisions need of a packet.
