Decide who joins the control hosts within the consensus crate, and simulate it

Cause: the choice of a place for a host that asks was made in the product's replica, where no simulation reached it.

Found while moving it: a follower that was asked noted all others but the leader as silent, and kept that when it became the leader. In clusters of five a voter that had not answered yet was then replaced at once. A leader now goes only by what it saw in its own term (a_new_leader_takes_nobody_for_lost_by_what_it_saw_as_a_follower: fails before with ReplacedAlive, passes after).

Rules broken on purpose and caught, beside the three there were: a wiped disk under its old identity, a disk that forgets, a learner that claims to be synced, reads without asking, a voter lost at once, a place for all, no place.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -18,6 +18,7 @@
 mod options;
 mod outputs;
 pub mod store;
+mod vacancies;
 
 pub use entry::{Batch, Entry, HardState, Payload, Restored, Snapshot};
 pub use member::{Member, MemberId, MemberRole, Membership};
@@ -25,3 +26,4 @@
 pub use node::{JoinError, MemberProgress, Node, NotLeader, RoleName, Standing};
 pub use options::Options;
 pub use outputs::{Apply, Outputs, ReadId, ReadOutcome, SyncMark};
+pub use vacancies::Vacancies;
--- a/crates/consensus/tests/testsuite/checker.rs
+++ b/crates/consensus/tests/testsuite/checker.rs
@@ -24,6 +24,12 @@
     StaleRead(LogIndex),
     #[display("{_0} was made a voter before its disk held what was committed")]
     VotesTooEarly(MemberId),
+    #[display("{_0} was replaced though it and the leader were in good order")]
+    ReplacedAlive(MemberId),
+    #[display("{_0} hosts have places of their own")]
+    TooManyMembers(usize),
+    #[display("the places were not all taken after all faults were healed")]
+    NotWhole,
     #[display("the members did not agree after all faults were healed")]
     NotLive,
 }
@@ -58,6 +64,8 @@
     pub lost_writes: u64,
     pub joined: u64,
     pub reads: u64,
+    /// Hosts that the system took in by itself.
+    pub taken_in: u64,
 }
 
 impl Counts {
--- a/crates/consensus/tests/testsuite/main.rs
+++ b/crates/consensus/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! The tests of the replicated log, one module for each feature.
 
 mod checker;
+mod core_life;
 mod disk;
 mod membership;
 mod schedules;
--- a/crates/consensus/tests/testsuite/membership.rs
+++ b/crates/consensus/tests/testsuite/membership.rs
@@ -138,3 +138,23 @@
     assert_eq!(simulation.leader(), led_by, "its return deposes nobody");
     assert!(propose(&mut simulation));
 }
+
+/// A spare host asks followers too, who hear of nobody but the leader. What they make of the silence of
+/// the others must not count once one of them leads.
+#[test]
+fn a_new_leader_takes_nobody_for_lost_by_what_it_saw_as_a_follower() {
+    for seed in 0..20 {
+        let mut simulation = calm(5, seed);
+        simulation.add_spare();
+        for _ in 0..20 {
+            simulation.ask().unwrap();
+            simulation.run(10).unwrap();
+        }
+        let leader = simulation.leader().unwrap();
+        simulation.crash(leader, false);
+        for _ in 0..60 {
+            simulation.step().unwrap();
+            simulation.ask().unwrap();
+        }
+    }
+}
--- a/crates/consensus/tests/testsuite/schedules.rs
+++ b/crates/consensus/tests/testsuite/schedules.rs
@@ -18,7 +18,7 @@
     let id = *ids.choose(&mut simulation.rng).unwrap();
     match simulation.rng.random_range(0..1000) {
         0..300 => simulation.propose(id)?,
-        300..400 => simulation.read(id),
+        300..400 => simulation.read(id)?,
         400..406 => {
             let keep_write = simulation.rng.random();
             simulation.crash(id, keep_write);
--- a/crates/consensus/tests/testsuite/simulation.rs
+++ b/crates/consensus/tests/testsuite/simulation.rs
@@ -9,9 +9,9 @@
 use bytes::{Buf, Bytes};
 use dogwoodrill_consensus::{
     AppendOutcome, Apply, Batch, Entry, Envelope, Member, MemberId, MemberRole, Membership,
-    Message, Node, Outputs, Payload, ReadId, Restored, RoleName, Snapshot,
+    Message, Node, Outputs, Payload, ReadId, Restored, RoleName, Snapshot, Vacancies,
 };
-use dogwoodrill_core::ids::{LogIndex, Term};
+use dogwoodrill_core::ids::{LogIndex, NodeId, Term};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -22,6 +22,13 @@
 const MAX_SYNC_STEPS: u64 = 3;
 /// How long a straggling message may be on its way; several elections pass meanwhile.
 const STRAGGLER_STEPS: u64 = 100;
+/// How much longer a slow disk takes.
+const SLOW_DISK: u64 = 20;
+/// Time without an answer after which a voter's place is given away.
+pub const LOST_AFTER: Duration = Duration::from_millis(300);
+/// Steps for which a member and the leader must have been in good order for its loss to be a mistake:
+/// the time above, an election, and what a rough network takes of both.
+const WELL_STEPS: u64 = 60 + 60;
 
 /// A rule that is broken on purpose, to show that the checks see it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -33,6 +40,20 @@
     LearnerVotes,
     /// A leader believes that everyone still answers it.
     NoCheckQuorum,
+    /// A learner says that its disk holds what it has only been sent.
+    LearnerClaims,
+    /// A leader answers reads without asking whether it still leads.
+    ReadsAtOnce,
+    /// A disk loses what it was told to keep.
+    DiskForgets,
+    /// A host whose disk is gone comes back under its old identity.
+    OldIdentity,
+    /// A voter that does not answer is taken for lost at once.
+    LostAtOnce,
+    /// A host is given a place of its own, however many there are.
+    PlaceForAll,
+    /// A host that asks is never taken in.
+    NoPlace,
 }
 
 /// How rough the network is, in percent.
@@ -58,10 +79,25 @@
     max_delay_steps: 1,
 };
 
+/// How a disk works.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DiskSpeed {
+    Usual,
+    Slow,
+    /// It takes nothing, as one that is full or hangs.
+    Stalled,
+}
+
 pub struct Host {
     pub node: Option<Node>,
     pub disk: Restored,
     pub lost: bool,
+    pub speed: DiskSpeed,
+    /// Number of the host, which a fresh disk keeps.
+    pub number: NodeId,
+    vacancies: Vacancies,
+    /// When it was last down, cut off, or without a working disk.
+    unwell_at: u64,
     syncing: Option<(u64, Outputs)>,
     inbox: Vec<Envelope>,
     heard: BTreeMap<MemberId, Instant>,
@@ -78,6 +114,10 @@
     pub checker: Checker,
     /// Links on which nothing arrives, by sender and receiver.
     pub cut: BTreeSet<(MemberId, MemberId)>,
+    /// Hosts that are to be members, without replacing anyone in particular.
+    pub asking: BTreeSet<MemberId>,
+    /// The voters that there should be.
+    pub wanted: usize,
     sabotage: Sabotage,
     now: Instant,
     step: u64,
@@ -107,6 +147,8 @@
             network: ROUGH,
             checker: Checker::default(),
             cut: BTreeSet::new(),
+            asking: BTreeSet::new(),
+            wanted: voters.voters().count(),
             sabotage,
             now: start(),
             step: 0,
@@ -115,16 +157,24 @@
             next_id: 100,
         };
         for id in voters.voters() {
-            simulation.add_host(id, restored.clone());
+            simulation.add_host(id, id.get().into(), restored.clone());
         }
         simulation
     }
 
-    fn add_host(&mut self, id: MemberId, disk: Restored) {
+    fn add_host(&mut self, id: MemberId, number: NodeId, disk: Restored) {
+        let lost_after = match self.sabotage {
+            Sabotage::LostAtOnce => Duration::ZERO,
+            _ => LOST_AFTER,
+        };
         let host = Host {
             node: None,
             disk,
             lost: false,
+            speed: DiskSpeed::Usual,
+            number,
+            vacancies: Vacancies::new(self.wanted, lost_after),
+            unwell_at: self.step,
             syncing: None,
             inbox: Vec::new(),
             heard: BTreeMap::new(),
@@ -177,12 +227,110 @@
     pub fn replace(&mut self, replaced: MemberId) -> MemberId {
         self.crash(replaced, true);
         self.hosts.get_mut(&replaced).unwrap().lost = true;
+        let number = self.hosts[&replaced].number;
+        self.add_fresh(number)
+    }
+
+    fn add_fresh(&mut self, number: NodeId) -> MemberId {
         let id = MemberId::new(self.next_id);
         self.next_id += 1;
-        self.add_host(id, Restored::default());
+        self.add_host(id, number, Restored::default());
         id
     }
 
+    /// The disk of a host is gone; the host asks to be a member again.
+    pub fn wipe(&mut self, id: MemberId) {
+        if self.sabotage == Sabotage::OldIdentity {
+            self.crash(id, false);
+            self.hosts.get_mut(&id).unwrap().disk = Restored::default();
+            self.restart(id);
+            return;
+        }
+        let fresh = self.replace(id);
+        self.asking.insert(fresh);
+    }
+
+    /// A host is gone for good, and another one asks to be a member.
+    pub fn move_away(&mut self, id: MemberId) {
+        self.crash(id, false);
+        self.hosts.get_mut(&id).unwrap().lost = true;
+        let number = NodeId::new(self.next_id);
+        let fresh = self.add_fresh(number);
+        self.asking.insert(fresh);
+    }
+
+    /// A host asks to be a member while nobody is gone.
+    pub fn add_spare(&mut self) {
+        let number = NodeId::new(self.next_id);
+        let fresh = self.add_fresh(number);
+        self.asking.insert(fresh);
+    }
+
+    /// Hosts that are no members ask every host that they reach; only a leader takes them in.
+    pub fn ask(&mut self) -> Checked {
+        let voters = self.asking.clone().into_iter().filter(|id| {
+            let node = self.hosts[id].node.as_ref();
+            node.is_some_and(|n| n.membership().get(*id).is_none())
+        });
+        for id in voters.collect::<Vec<_>>() {
+            let joining = Member {
+                node: self.hosts[&id].number,
+                ..member(id.get(), MemberRole::Learner)
+            };
+            for to in self.ids() {
+                let way = [(id, to), (to, id)];
+                if to != id && !way.iter().any(|way| self.cut.contains(way)) {
+                    self.ask_one(to, &joining)?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn ask_one(&mut self, to: MemberId, joining: &Member) -> Checked {
+        let (now, step) = (self.now, self.step);
+        let host = self.hosts.get_mut(&to).unwrap();
+        let (Some(node), None) = (&mut host.node, &host.syncing) else {
+            return Ok(());
+        };
+        let before = node.membership().clone();
+        let taken = match self.sabotage {
+            Sabotage::NoPlace => return Ok(()),
+            Sabotage::PlaceForAll => node.join(now, joining, None),
+            _ => host.vacancies.join(now, node, joining),
+        };
+        if taken.is_err() || before.get(joining.id).is_some() {
+            return Ok(());
+        }
+        let after = node.membership().clone();
+        let leader_well = step - host.unwell_at > WELL_STEPS;
+        let settled = |m: &&Member| m.replaces.is_none() && m.id != joining.id;
+        let own_place = after.get(joining.id).is_some_and(|m| m.replaces.is_none());
+        let count = after.members().iter().filter(settled).count() + usize::from(own_place);
+        holds(count <= self.wanted, Violation::TooManyMembers(count))?;
+        let replaced = after.get(joining.id).and_then(|m| m.replaces);
+        let other_host = |m: &MemberId| self.hosts[m].number != joining.node;
+        if let Some(replaced) = replaced.filter(other_host) {
+            let member_well = step - self.hosts[&replaced].unwell_at > WELL_STEPS;
+            let mistaken = leader_well && member_well;
+            holds(!mistaken, Violation::ReplacedAlive(replaced))?;
+        }
+        self.checker.counts.taken_in += 1;
+        Ok(())
+    }
+
+    /// What a host would answer at once, had it not to ask whether it still leads.
+    fn read_at_once(&mut self, id: MemberId) -> Checked {
+        let needed = self.checker.accepted;
+        let host = &self.hosts[&id];
+        let leads = |n: &Node| n.standing(self.now).role == RoleName::Leader;
+        let leads = host.node.as_ref().is_some_and(leads);
+        holds(
+            !leads || host.state.index >= needed,
+            Violation::StaleRead(needed),
+        )
+    }
+
     /// Asks every host to take the fresh `joining` in; only a leader does.
     pub fn ask_to_join(&mut self, joining: MemberId, replaced: MemberId) {
         let joining = Member {
@@ -219,7 +367,10 @@
         holds(in_contact, Violation::AcceptedIsolated(id))
     }
 
-    pub fn read(&mut self, id: MemberId) {
+    pub fn read(&mut self, id: MemberId) -> Checked {
+        if self.sabotage == Sabotage::ReadsAtOnce {
+            return self.read_at_once(id);
+        }
         self.commands += 1;
         let read = ReadId::from(self.commands);
         let accepted = self.checker.accepted;
@@ -229,6 +380,7 @@
         {
             host.reads.insert(read, accepted);
         }
+        Ok(())
     }
 
     pub fn compact(&mut self, id: MemberId) {
@@ -242,6 +394,7 @@
     pub fn step(&mut self) -> Checked {
         self.step += 1;
         self.now += STEP;
+        self.note_unwell();
         self.deliver();
         for id in self.ids() {
             self.finish_sync(id);
@@ -254,6 +407,16 @@
         (0..steps).try_for_each(|_| self.step())
     }
 
+    fn note_unwell(&mut self) {
+        let step = self.step;
+        for (id, host) in &mut self.hosts {
+            let is_cut = self.cut.iter().any(|(from, to)| from == id || to == id);
+            if host.node.is_none() || is_cut || host.speed != DiskSpeed::Usual {
+                host.unwell_at = step;
+            }
+        }
+    }
+
     fn deliver(&mut self) {
         let step = self.step;
         let due = self.in_flight.extract_if(.., |(at, _)| *at <= step);
@@ -269,6 +432,9 @@
     fn finish_sync(&mut self, id: MemberId) {
         let step = self.step;
         let host = self.hosts.get_mut(&id).unwrap();
+        if host.speed == DiskSpeed::Stalled {
+            return;
+        }
         let Some((_, outputs)) = host.syncing.take_if(|(at, _)| *at <= step) else {
             return;
         };
@@ -355,7 +521,11 @@
             let early: Vec<_> = outputs.after_sync.extract_if(.., votes).collect();
             self.send(early);
         }
-        let done = self.step + self.rng.random_range(1..=MAX_SYNC_STEPS);
+        let times = match self.hosts[&id].speed {
+            DiskSpeed::Slow => SLOW_DISK,
+            DiskSpeed::Usual | DiskSpeed::Stalled => 1,
+        };
+        let done = self.step + times * self.rng.random_range(1..=MAX_SYNC_STEPS);
         self.hosts.get_mut(&id).unwrap().syncing = Some((done, outputs));
         Ok(())
     }
@@ -433,6 +603,23 @@
                     self.in_flight.push((self.step + 1, forged));
                 }
             }
+            (Sabotage::LearnerClaims, Message::AppendRequest { entries, round, .. }) => {
+                let leader = self.hosts[&from].node.as_ref();
+                let is_voter = leader.is_some_and(|n| n.membership().is_voter(to));
+                let Some(last) = entries.last().filter(|_| !is_voter) else {
+                    return;
+                };
+                let forged = Envelope {
+                    from: to,
+                    to: from,
+                    term,
+                    message: Message::AppendResponse {
+                        round: *round,
+                        outcome: AppendOutcome::Synced(last.index),
+                    },
+                };
+                self.in_flight.push((self.step + 1, forged));
+            }
             (Sabotage::NoCheckQuorum, Message::AppendRequest { round, .. }) => {
                 let outcome = AppendOutcome::Synced(LogIndex::default());
                 let round = *round;
@@ -467,6 +654,9 @@
     if let (Sabotage::VoteNotSynced, Batch::Append { hard_state, .. }) = (sabotage, &mut batch) {
         *hard_state = None;
     }
+    if let (Sabotage::DiskForgets, Batch::Append { entries, .. }) = (sabotage, &mut batch) {
+        entries.pop();
+    }
     disk.apply(batch);
 }
 
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -11,9 +11,9 @@
 use bytes::Bytes;
 use derive_more::{Display, From};
 use dogwoodrill_consensus::{
-    Apply, Batch, Entry, Envelope, JoinError, Member, MemberId, MemberProgress, MemberRole,
-    Membership, Node, Options, Payload, ReadId, ReadOutcome, Restored, RoleName, Snapshot,
-    Standing, SyncMark,
+    Apply, Batch, Entry, Envelope, JoinError, Member, MemberId, MemberProgress, Membership, Node,
+    Options, Payload, ReadId, ReadOutcome, Restored, RoleName, Snapshot, Standing, SyncMark,
+    Vacancies,
 };
 use dogwoodrill_core::changes::{Accepted, Change, Command, CommandId};
 use dogwoodrill_core::config::CommittedConfig;
@@ -112,9 +112,7 @@
     replies: Vec<(Ticket, Reply)>,
     /// Bytes of the commands applied since the last snapshot.
     applied_bytes: usize,
-    wanted_voters: usize,
-    /// Since when a voter has not answered, as seen whenever a host asked to be taken in.
-    silent_since: BTreeMap<MemberId, Instant>,
+    vacancies: Vacancies,
 }
 
 impl Replica {
@@ -137,16 +135,15 @@
             next_read: 0,
             replies: Vec::new(),
             applied_bytes: 0,
-            wanted_voters: 0,
-            silent_since: BTreeMap::new(),
+            vacancies: Vacancies::new(0, LOST_AFTER),
         }
     }
 
     /// The same copy, which takes in a host that asks, without taking anyone's place, while there are
     /// fewer voters than `wanted`.
     #[must_use]
-    pub const fn with_wanted_voters(mut self, wanted: usize) -> Self {
-        self.wanted_voters = wanted;
+    pub fn with_wanted_voters(mut self, wanted: usize) -> Self {
+        self.vacancies = Vacancies::new(wanted, LOST_AFTER);
         self
     }
 
@@ -251,38 +248,9 @@
         self.node.join(now, joining, Some(replaced))
     }
 
-    /// Takes in a host that names nobody whose place it takes. It gets the place of a member on the
-    /// same host, whose disk is gone; a place of its own while voters are wanting; or that of a voter
-    /// that has been silent for [`LOST_AFTER`].
+    /// Takes in a host that names nobody whose place it takes, where there is a place for it.
     pub fn join_where_needed(&mut self, now: Instant, joining: &Member) -> Result<(), JoinError> {
-        let standing = self.standing(now);
-        let silent = standing.members.iter().filter(|m| !m.reachable);
-        let silent: Vec<_> = silent.map(|m| m.member.id).collect();
-        self.silent_since.retain(|id, _| silent.contains(id));
-        for id in silent {
-            self.silent_since.entry(id).or_insert(now);
-        }
-        let members = self.membership().members();
-        if members.iter().any(|m| m.id == joining.id) {
-            return Ok(());
-        }
-        let on_host = members
-            .iter()
-            .find(|m| m.node == joining.node && m.replaces.is_none());
-        if let Some(replaced) = on_host.map(|m| m.id) {
-            return self.node.join(now, joining, Some(replaced));
-        }
-        let settled = members.iter().filter(|m| m.replaces.is_none()).count();
-        if settled < self.wanted_voters {
-            return self.node.join(now, joining, None);
-        }
-        let lost = members.iter().find(|m| {
-            let since = self.silent_since.get(&m.id);
-            let is_lost = since.is_some_and(|since| now >= *since + LOST_AFTER);
-            is_lost && m.role == MemberRole::Voter
-        });
-        let lost = lost.map(|m| m.id).ok_or(JoinError::NobodyToReplace)?;
-        self.node.join(now, joining, Some(lost))
+        self.vacancies.join(now, &mut self.node, joining)
     }
 
     /// What is to be done since the last call.
