Tell callers of flows that ended with their host

Callers of long flows sent into the void until their own limits. Ruled out: a reset by the agent that a keeper names, since the flow may be open at the peer that got a copy of its opening packet; a reset by a keeper that knows nothing, since its notes may be lost.

Change: agents that are searched for a flow say that they do not have it, by their own table if they heard their server's first report, else by what the server hands back. The searcher resets a flow that all agents have denied, where all name the same set of agents and one of them is up for a second. An agent to which a keeper sends a flow that it knows to be nowhere searches too. A search goes to all agents instead of those of the service, in fleets of up to 64, and no longer follows an agent's redirections. The flow's entry has a module of its own and is written out once.

The simulated fleet counted each packet at another server as a breach, also those of a search.

Tests: callers_are_told_of_flows_that_ended_with_their_host and callers_are_told_after_all_hosts_lost_power fail before (all give up); no_living_flow_is_broken_off, nine losses with and without restarts of all other agents.

--- a/crates/core/examples/flow_entries.rs
+++ b/crates/core/examples/flow_entries.rs
@@ -36,7 +36,7 @@
 
 fn main() -> Result<(), Failure> {
     let args: Vec<_> = std::env::args().skip(1).collect();
-    if let [kind, flows] = &args[..] {
+    if let [kind, flows] = &*args {
         println!("{}", measured(kind, flows.parse()?)?);
         return Ok(());
     }
--- a/crates/core/src/forwarded.rs
+++ b/crates/core/src/forwarded.rs
@@ -8,13 +8,14 @@
 //! of a flow that it does not remember goes to one of the flow's two [`keepers`], agents chosen by
 //! rendezvous hashing over the flow alone. The [`agent`] beside the backend server has the last word
 //! on each opening packet ([`gate`]), because it knows its server best; it tells the keepers of each
-//! flow that its server took. [`mesh`] is what every node knows of the others, [`service_map`] the
+//! flow that its server took; a flow that no agent holds is found out by an [`inquiry`]. [`mesh`] is what every node knows of the others, [`service_map`] the
 //! configuration in force, and [`packet`] the header as the rest of the system sees it.
 
 pub mod agent;
 pub mod balancer;
 pub mod decision;
 pub mod gate;
+pub mod inquiry;
 pub mod keepers;
 pub mod mesh;
 pub mod node;
--- a/crates/core/src/forwarded/agent.rs
+++ b/crates/core/src/forwarded/agent.rs
@@ -24,20 +24,22 @@
 
 use super::decision::{Decision, Reason, Step};
 use super::gate::ColdBudget;
-use super::keepers::{FlowDirectory, FlowPlace, Keepers};
+use super::inquiry::{Denial, Inquiries};
+use super::keepers::{FlowDirectory, FlowPlace};
 use super::mesh::{Mesh, ServerReport};
 use super::packet::{FlowKey, Header, Purpose, Trail};
 use super::placement::WorkTime;
-use super::server::{Life, Server};
+use super::server::Server;
 use super::service_map::ServiceMap;
 use super::waiting::WaitingRoom;
 
+mod flow;
 mod life;
 mod location;
 mod openings;
 
-/// Time for which a flow that is not open yet is remembered.
-const OPENING_TTL: Duration = Duration::from_secs(2);
+use flow::{Flow, IDLE_TTL, OPENING_TTL, Work};
+
 /// Time in which a caller sends its request once the flow is open: a round trip, and the wait for a
 /// lost packet.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
@@ -45,8 +47,6 @@
 const WORK_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for which a flow is remembered after both ends have ended it, for packets sent again.
 const ENDED_TTL: Duration = Duration::from_secs(10);
-/// Time for which a flow is remembered without packets, over every idle limit in use.
-const IDLE_TTL: Duration = Duration::from_secs(30);
 /// Searches in one tick; a bound on what packets of flows that never were can cost.
 const SEARCHES_PER_TICK: u32 = 4;
 /// Time between two clean-ups of the tables.
@@ -108,58 +108,17 @@
         /// The flow.
         place: FlowPlace,
     },
+    /// Tell an agent that searches for a flow that it is not here.
+    Deny {
+        /// The agent.
+        to: Ipv4Addr,
+        /// What it is told.
+        denial: Denial,
+    },
     /// See whether something listens at the server's port.
     CheckPort,
 }
 
-/// How far a flow's current request is.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Work {
-    /// A request is about to come.
-    Expected { until: Instant },
-    /// The server works on one.
-    Running {
-        since: Instant,
-        /// Requests that the server had with it.
-        among: u32,
-        until: Instant,
-    },
-    /// None.
-    Idle,
-}
-
-impl Work {
-    const fn is_running(self) -> bool {
-        matches!(self, Self::Running { .. })
-    }
-
-    const fn counts(self) -> bool {
-        !matches!(self, Self::Idle)
-    }
-}
-
-#[derive(Debug)]
-struct Flow {
-    life: Life,
-    /// The caller has acknowledged what the server said first.
-    is_open: bool,
-    server_seq: Option<u32>,
-    /// When the server first answered.
-    answered_at: Option<Instant>,
-    /// The opening packet, while the server has not answered it.
-    opening: Option<Bytes>,
-    /// The first packet of the request that the server works on.
-    request: Option<Bytes>,
-    trail: Trail,
-    work: Work,
-    caller_next: u32,
-    caller_ack: u32,
-    caller_ended: bool,
-    server_ended: bool,
-    keepers: Keepers,
-    forget_at: Instant,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Redirect {
     to: Ipv4Addr,
@@ -186,6 +145,7 @@
     waiting: WaitingRoom,
     redirects: HashMap<FlowKey, Redirect>,
     directory: FlowDirectory,
+    inquiries: Inquiries,
     unanswered: VecDeque<(Instant, FlowKey)>,
     expected: VecDeque<(Instant, FlowKey)>,
     retold_version: u64,
@@ -222,6 +182,7 @@
             waiting: WaitingRoom::default(),
             redirects: HashMap::new(),
             directory: FlowDirectory::default(),
+            inquiries: Inquiries::default(),
             unanswered: VecDeque::new(),
             expected: VecDeque::new(),
             retold_version: 0,
@@ -322,17 +283,23 @@
         if header.flags.is_opening() {
             self.on_opening(now, from, header, packet)
         } else {
-            self.on_following(now, header, packet)
+            self.on_following(now, from, header, packet)
         }
     }
 
-    fn on_following(&mut self, now: Instant, header: &Header, packet: &[u8]) -> Fate {
+    fn on_following(
+        &mut self,
+        now: Instant,
+        from: Ipv4Addr,
+        header: &Header,
+        packet: &[u8],
+    ) -> Fate {
         let key = header.caller_flow();
         let Some(flow) = self.flows.get_mut(&key) else {
-            return self.locate(now, header, packet);
+            return self.locate(now, from, header, packet);
         };
         if !flow.is_open && !acknowledges(flow, header) {
-            return self.locate(now, header, packet);
+            return self.locate(now, from, header, packet);
         }
         flow.is_open = true;
         flow.forget_at = now + IDLE_TTL;
@@ -372,7 +339,9 @@
         let key = header.server_flow();
         if !self.flows.contains_key(&key) {
             let trail = Trail::from_balancer(Ipv4Addr::UNSPECIFIED, Purpose::Placed);
-            let flow = self.flow_found_open(now, trail, header.seq, header.ack);
+            let life = self.server.life();
+            let forget_at = now + IDLE_TTL;
+            let flow = Flow::found_open(life, trail, header.seq, header.ack, forget_at);
             self.flows.insert(key, flow);
         }
         let Some(flow) = self.flows.get_mut(&key) else {
@@ -380,6 +349,7 @@
         };
         flow.forget_at = flow.forget_at.max(now + OPENING_TTL);
         flow.opening = None;
+        flow.searched_by = None;
         flow.server_ended |= header.flags.is_ending();
         if flow.server_seq.is_none() {
             flow.server_seq = Some(header.seq);
@@ -428,6 +398,9 @@
             ..Decision::new(Step::Bounced, key, self.map.index)
         });
         if !header.flags.is_opening() {
+            if let Some(searcher) = removed.as_ref().and_then(|f| f.searched_by) {
+                self.deny(now, searcher, key);
+            }
             // A server forgets no flow that it has answered and not ended: it started anew.
             if let Some(flow) = removed.filter(|f| f.server_seq.is_some() && !f.server_ended) {
                 self.break_off(key, &flow);
@@ -515,6 +488,7 @@
     fn sweep(&mut self, now: Instant) {
         self.mesh.on_tick(now);
         self.directory.expire(now);
+        self.inquiries.expire(now);
         self.redirects.retain(|_, r| now < r.until);
         let over = self.flows.iter().filter(|(_, f)| f.forget_at <= now);
         for key in over.map(|(key, _)| *key).collect::<Vec<_>>() {
--- a/crates/core/src/forwarded/agent/location.rs
+++ b/crates/core/src/forwarded/agent/location.rs
@@ -1,12 +1,13 @@
 //! Where a flow is: at this agent, at one that its keepers know, or at nobody's.
 
 use std::net::Ipv4Addr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 
-use super::{Action, Agent, Fate, Flow, IDLE_TTL, Work};
+use super::{Action, Agent, Fate, Flow, IDLE_TTL};
 use crate::forwarded::decision::{Decision, Step};
+use crate::forwarded::inquiry::Denial;
 use crate::forwarded::keepers::{FlowPlace, Keepers};
 use crate::forwarded::node::NodeRole;
 use crate::forwarded::packet::{FlowKey, Header, Purpose, Trail};
@@ -14,17 +15,30 @@
 
 /// How often any packet is passed on between agents; a bound on loops between stale views.
 const MAX_FOLLOWING_HOPS: u8 = 6;
-/// Agents that a packet of an unknown flow is sent to.
-const MAX_SEARCHED: usize = 16;
+/// Agents that a packet of an unknown flow is sent to: all there are, or in a larger fleet as many of the
+/// flow's service.
+const MAX_SEARCHED: usize = 64;
+/// Time after its start in which an agent may not know all others: those that started with it may not have
+/// greeted it yet.
+const SETTLED_AFTER: Duration = Duration::from_secs(1);
 /// Flows that keepers are told of anew in one tick.
 const RETOLD_PER_TICK: usize = 64;
 
 impl Agent {
     /// The packet belongs to a flow that is not here.
-    pub(super) fn locate(&mut self, now: Instant, header: &Header, packet: &[u8]) -> Fate {
+    pub(super) fn locate(
+        &mut self,
+        now: Instant,
+        from: Ipv4Addr,
+        header: &Header,
+        packet: &[u8],
+    ) -> Fate {
         let key = header.caller_flow();
         let trail = header.trail;
-        if let Some(to) = self.redirect(now, key) {
+        if let Some(to) = self
+            .redirect(now, key)
+            .filter(|_| trail.purpose != Purpose::Search)
+        {
             return Self::follow(to, trail, Purpose::Placed);
         }
         let own = self.mesh.own().ip;
@@ -32,9 +46,10 @@
         match trail.purpose {
             // The flow opened at another server, whose agent the keeper did not hear of.
             Purpose::Kept | Purpose::Search if self.flows.contains_key(&key) => Fate::Drop,
-            // All servers of the service get it, among them its own.
-            Purpose::Search if !self.may_hold_unknown(now) => Fate::Drop,
-            Purpose::Search | Purpose::Kept => self.adopt(now, header),
+            Purpose::Search => self.on_search(now, from, header),
+            // Whoever told the keeper so has ended with its server.
+            Purpose::Kept if self.knows_all_flows(now) => self.search(now, header, packet),
+            Purpose::Kept => self.adopt(now, header),
             Purpose::Placed | Purpose::FirstKeeper | Purpose::SecondKeeper
                 if holder == Some(own) =>
             {
@@ -83,8 +98,11 @@
         let route = self.map.route(key.service);
         let serves = |service: &ServiceLabel| route.is_some_and(|r| r.allows(service));
         let live = self.mesh.live(now, NodeRole::Agent);
-        let live =
-            live.filter(|(_, k)| k.report.as_ref().is_some_and(|h| serves(&h.report.service)));
+        let asks_all = live.clone().count() <= MAX_SEARCHED;
+        let live = live.filter(|(_, k)| {
+            let report = k.report.as_ref().map(|h| &h.report);
+            asks_all || report.is_some_and(|r| serves(&r.service))
+        });
         let trail = header.trail.passed_on(Purpose::Search);
         let packet = Bytes::copy_from_slice(packet);
         let asked = live.take(MAX_SEARCHED).map(|(to, _)| Action::Forward {
@@ -93,11 +111,79 @@
             packet: packet.clone(),
         });
         self.actions.extend(asked);
+        if let Some(agents) = self.mesh.agent_set(now).filter(|_| asks_all) {
+            self.inquiries.ask(now, key, header.ack, agents);
+        }
         self.decide(Decision {
             hops: header.trail.hops,
             ..Decision::new(Step::Searched, key, self.map.index)
         });
-        Fate::Drop
+        self.on_search(now, self.mesh.own().ip, header)
+    }
+
+    /// `searcher` looks for a flow that is not known here. What the agent cannot deny itself it leaves to
+    /// the server, which hands back what it does not hold.
+    fn on_search(&mut self, now: Instant, searcher: Ipv4Addr, header: &Header) -> Fate {
+        let key = header.caller_flow();
+        if self.knows_all_flows(now) {
+            self.deny(now, searcher, key);
+            return Fate::Drop;
+        }
+        let mut flow = self.found_open(now, header);
+        flow.searched_by = Some(searcher);
+        self.flows.insert(key, flow);
+        Fate::Deliver
+    }
+
+    /// Whether the agent has seen every flow that can be open at its server.
+    fn knows_all_flows(&self, now: Instant) -> bool {
+        self.server.is_seen_whole() || now >= self.started_at + self.max_flow_age
+    }
+
+    /// Tells `searcher` that the flow is not here.
+    pub(super) fn deny(&mut self, now: Instant, searcher: Ipv4Addr, flow: FlowKey) {
+        let Some(agents) = self.mesh.agent_set(now) else {
+            return;
+        };
+        let denial = Denial {
+            flow,
+            agents,
+            is_settled: now >= self.started_at + SETTLED_AFTER,
+        };
+        if searcher == self.mesh.own().ip {
+            self.on_denials(now, searcher, [denial]);
+        } else {
+            let to = searcher;
+            self.actions.push(Action::Deny { to, denial });
+        }
+    }
+
+    /// `from` says which of the flows that are searched for are not at it. A flow that all have denied
+    /// is nowhere, and its caller is told.
+    pub fn on_denials(
+        &mut self,
+        now: Instant,
+        from: Ipv4Addr,
+        denials: impl IntoIterator<Item = Denial>,
+    ) {
+        let own = self.mesh.own().ip;
+        for denial in denials {
+            if self.mesh.agent_set(now) != Some(denial.agents) {
+                continue;
+            }
+            let others = self.mesh.agents().map(|(ip, _)| ip);
+            let agents = others.chain([own]);
+            let Some(seq) = self.inquiries.on_denial(from, denial, agents) else {
+                continue;
+            };
+            let flow = denial.flow;
+            let holder = self.directory.find(flow, seq).filter(|ip| *ip != own);
+            if holder.is_some() || self.flows.contains_key(&flow) {
+                continue;
+            }
+            self.actions.push(Action::Reset { flow, seq });
+            self.decide(Decision::new(Step::FoundNowhere, flow, self.map.index));
+        }
     }
 
     /// Whether flows may be open at the server that the agent, which started later, does not know.
@@ -116,29 +202,21 @@
             });
             return Fate::Drop;
         }
-        let end = header.seq.wrapping_add(u32::from(header.len));
-        let flow = self.flow_found_open(now, header.trail, header.ack, end);
+        let flow = self.found_open(now, header);
         self.flows.entry(key).or_insert(flow);
         Fate::Deliver
     }
 
-    pub(super) fn flow_found_open(&self, now: Instant, trail: Trail, ack: u32, next: u32) -> Flow {
-        Flow {
-            life: self.server.life(),
-            is_open: true,
-            server_seq: None,
-            answered_at: None,
-            opening: None,
-            request: None,
-            trail,
-            work: Work::Idle,
-            caller_next: next,
-            caller_ack: ack,
-            caller_ended: false,
-            server_ended: false,
-            keepers: Keepers::default(),
-            forget_at: now + IDLE_TTL,
-        }
+    fn found_open(&self, now: Instant, header: &Header) -> Flow {
+        let next = header.seq.wrapping_add(u32::from(header.len));
+        let forget_at = now + IDLE_TTL;
+        Flow::found_open(
+            self.server.life(),
+            header.trail,
+            header.ack,
+            next,
+            forget_at,
+        )
     }
 
     pub(super) fn tell_balancer(&mut self, key: FlowKey, trail: Trail) {
--- a/crates/core/src/forwarded/agent/openings.rs
+++ b/crates/core/src/forwarded/agent/openings.rs
@@ -3,13 +3,11 @@
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use rand::Rng;
 
 use super::{Action, Agent, Fate, Flow, OPENING_TTL, Redirect, Work};
 use crate::forwarded::decision::{Decision, Reason, Step};
 use crate::forwarded::gate::{self, Fullness};
-use crate::forwarded::keepers::Keepers;
 use crate::forwarded::packet::{FlowKey, Header, Purpose, Trail};
 use crate::forwarded::placement::{self, Candidate};
 use crate::forwarded::service_map::ServiceLabel;
@@ -153,28 +151,12 @@
 
     fn accept(&mut self, now: Instant, header: &Header, packet: &[u8]) -> Fate {
         let key = header.caller_flow();
-        let flow = Flow {
-            life: self.server.life(),
-            is_open: false,
-            server_seq: None,
-            answered_at: None,
-            opening: Some(Bytes::copy_from_slice(packet)),
-            request: None,
-            trail: header.trail,
-            work: Work::Expected {
-                until: now + OPENING_TTL,
-            },
-            caller_next: header.seq.wrapping_add(1),
-            caller_ack: 0,
-            caller_ended: false,
-            server_ended: false,
-            keepers: Keepers::default(),
-            forget_at: now + OPENING_TTL,
-        };
+        let until = now + OPENING_TTL;
+        let flow = Flow::opening(self.server.life(), header, packet, until);
         self.busy += 1;
         self.flows.insert(key, flow);
         self.unanswered.push_back((now + ANSWER_TIMEOUT, key));
-        self.expected.push_back((now + OPENING_TTL, key));
+        self.expected.push_back((until, key));
         let age = self.server.age(now);
         self.decide(Decision {
             age,
@@ -250,11 +232,14 @@
         Some(chosen.agent)
     }
 
-    fn redirect_to(&mut self, now: Instant, to: Ipv4Addr, header: &Header, why: Reason) -> Fate {
-        let key = header.caller_flow();
+    fn remember_redirect(&mut self, now: Instant, key: FlowKey, to: Ipv4Addr, copy: u32) {
         let until = now + REDIRECT_TTL;
-        let copy = header.ack;
         self.redirects.insert(key, Redirect { to, copy, until });
+    }
+
+    fn redirect_to(&mut self, now: Instant, to: Ipv4Addr, header: &Header, why: Reason) -> Fate {
+        let key = header.caller_flow();
+        self.remember_redirect(now, key, to, header.ack);
         self.mesh.on_placed(to);
         self.decide(Decision {
             node: Some(to),
@@ -312,9 +297,7 @@
             let Some(to) = peer.filter(|_| trail.hops < MAX_HOPS) else {
                 continue;
             };
-            let until = now + REDIRECT_TTL;
-            let copy = 0;
-            self.redirects.insert(key, Redirect { to, copy, until });
+            self.remember_redirect(now, key, to, 0);
             let trail = trail.passed_on(Purpose::Placed);
             self.actions.push(Action::Forward { to, trail, packet });
         }
--- a/crates/core/src/forwarded/decision.rs
+++ b/crates/core/src/forwarded/decision.rs
@@ -51,6 +51,9 @@
     /// The caller was told that the flow's server is gone.
     #[display("server gone")]
     ServerGone,
+    /// All agents denied the flow, and its caller was told so.
+    #[display("found nowhere")]
+    FoundNowhere,
     /// A packet of an unknown flow was dropped.
     #[display("unknown flow")]
     UnknownFlow,
--- /dev/null
+++ b/crates/core/src/forwarded/inquiry.rs
@@ -0,0 +1,101 @@
+//! Flows that are nowhere: found out by asking every agent.
+//!
+//! The load that this answers: a host loses power, and with it a backend server and its agent. Nobody
+//! who comes back knows the flows that were open there, and their callers would send into the void
+//! until their own time limits. An agent that searched for a flow in vain may break it off, but only
+//! if no server can hold it: every agent there is has denied it, all of them know the same agents, and
+//! one of them has been there long enough to know all. So an agent that the searcher has not heard of,
+//! or that fell silent lately, is not passed over.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+use derive_more::{Display, From, Into};
+
+use super::packet::FlowKey;
+
+/// Time for which denials count; the caller's next packet asks again.
+const INQUIRY_TTL: Duration = Duration::from_secs(2);
+/// Inquiries at one agent at a time; bounds memory.
+const MAX_INQUIRIES: usize = 1024;
+
+/// Stands for all agents that a node knows of; equal at nodes that know the same.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, From, Into, PartialEq)]
+#[display("{_0:016x}")]
+pub struct AgentSet(u64);
+
+/// An agent says that its backend server does not hold a flow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Denial {
+    /// The flow.
+    pub flow: FlowKey,
+    /// The agents that it knows of.
+    pub agents: AgentSet,
+    /// Whether it has been there long enough to know all that are there.
+    pub is_settled: bool,
+}
+
+#[derive(Debug)]
+struct Inquiry {
+    /// What the caller expects next.
+    seq: u32,
+    agents: AgentSet,
+    denied: BTreeSet<Ipv4Addr>,
+    is_settled: bool,
+    until: Instant,
+}
+
+/// Flows that an agent asks the others about.
+#[derive(Debug, Default)]
+pub struct Inquiries {
+    open: HashMap<FlowKey, Inquiry>,
+}
+
+impl Inquiries {
+    /// All of `agents` are asked for a flow whose caller expects `seq` next.
+    pub fn ask(&mut self, now: Instant, flow: FlowKey, seq: u32, agents: AgentSet) {
+        if self.open.len() >= MAX_INQUIRIES && !self.open.contains_key(&flow) {
+            return;
+        }
+        let inquiry = self.open.entry(flow).or_insert_with(|| Inquiry {
+            seq,
+            agents,
+            denied: BTreeSet::new(),
+            is_settled: false,
+            until: now,
+        });
+        if inquiry.agents != agents {
+            inquiry.agents = agents;
+            inquiry.denied.clear();
+            inquiry.is_settled = false;
+        }
+        inquiry.seq = seq;
+        inquiry.until = now + INQUIRY_TTL;
+    }
+
+    /// An agent denies a flow. Once all of `agents` have, the inquiry ends and gives what the caller
+    /// expects next.
+    pub fn on_denial(
+        &mut self,
+        from: Ipv4Addr,
+        denial: Denial,
+        mut agents: impl Iterator<Item = Ipv4Addr>,
+    ) -> Option<u32> {
+        let inquiry = self.open.get_mut(&denial.flow)?;
+        if inquiry.agents != denial.agents {
+            return None;
+        }
+        inquiry.denied.insert(from);
+        inquiry.is_settled |= denial.is_settled;
+        if !inquiry.is_settled || !agents.all(|ip| inquiry.denied.contains(&ip)) {
+            return None;
+        }
+        self.open.remove(&denial.flow).map(|inquiry| inquiry.seq)
+    }
+
+    /// Drops what was not answered in full.
+    pub fn expire(&mut self, now: Instant) {
+        self.open.retain(|_, inquiry| now < inquiry.until);
+    }
+}
--- a/crates/core/src/forwarded/mesh.rs
+++ b/crates/core/src/forwarded/mesh.rs
@@ -9,11 +9,14 @@
 //! other hears it, and a path that carries packets one way only is not taken for a good one.
 
 use std::collections::BTreeMap;
+use std::hash::Hasher;
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
 use derive_more::{Display, From, Into};
+use siphasher::sip::SipHasher13;
 
+use super::inquiry::AgentSet;
 use super::keepers::KeeperRing;
 use super::node::NodeRole;
 use super::service_map::ServiceLabel;
@@ -307,7 +310,7 @@
     }
 
     /// All nodes.
-    pub fn nodes(&self) -> impl Iterator<Item = (Ipv4Addr, &Known)> {
+    pub fn nodes(&self) -> impl Iterator<Item = (Ipv4Addr, &Known)> + Clone {
         self.nodes.iter().map(|(ip, known)| (*ip, known))
     }
 
@@ -321,11 +324,37 @@
     }
 
     /// Nodes of a role that were heard lately.
-    pub fn live(&self, now: Instant, role: NodeRole) -> impl Iterator<Item = (Ipv4Addr, &Known)> {
+    pub fn live(
+        &self,
+        now: Instant,
+        role: NodeRole,
+    ) -> impl Iterator<Item = (Ipv4Addr, &Known)> + Clone {
         let of_role = self.nodes().filter(move |(_, k)| k.role == role);
         of_role.filter(move |(_, k)| self.is_heard(now, k))
     }
 
+    /// The other agents that are there, or were lately.
+    pub fn agents(&self) -> impl Iterator<Item = (Ipv4Addr, &Known)> {
+        self.nodes().filter(|(_, k)| k.role == NodeRole::Agent)
+    }
+
+    /// Stands for all agents, this node among them; none while one of them is not heard, or was never.
+    pub fn agent_set(&self, now: Instant) -> Option<AgentSet> {
+        let mut ips = vec![self.own.ip];
+        for (ip, known) in self.agents() {
+            if !self.is_heard(now, known) {
+                return None;
+            }
+            ips.push(ip);
+        }
+        ips.sort_unstable();
+        let mut hasher = SipHasher13::new();
+        for ip in ips {
+            hasher.write(&ip.octets());
+        }
+        Some(hasher.finish().into())
+    }
+
     /// Whether packets get through to a node, as far as it said. One that was just heard for the
     /// first time has had no occasion to say so.
     fn is_reached(&self, now: Instant, known: &Known) -> bool {
--- a/crates/core/src/forwarded/server.rs
+++ b/crates/core/src/forwarded/server.rs
@@ -88,8 +88,29 @@
     heard_at: Instant,
     cold_until: Instant,
     is_over: bool,
+    begun: Begun,
+}
+
+/// When a server's life began, beside the agent's.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Begun {
+    /// The agent heard its first statement.
+    Seen,
+    /// At about the same time.
+    Beside,
     /// It had been there for a while when the agent first heard it.
-    is_older: bool,
+    Before,
+}
+
+impl Begun {
+    /// By the first statement that the agent heard of any life.
+    const fn by_first(sequence: u64) -> Self {
+        match sequence {
+            0..=1 => Self::Seen,
+            2..=FIRST_STATEMENTS => Self::Beside,
+            _ => Self::Before,
+        }
+    }
 }
 
 /// Why a server gets no opening packets.
@@ -148,16 +169,16 @@
     /// The server reported.
     pub fn on_statement(&mut self, now: Instant, statement: ServerStatement) -> StatementOutcome {
         let cold_until = now + statement.cold_remaining;
-        let is_older = self.current.is_none() && u64::from(statement.sequence) > FIRST_STATEMENTS;
-        let fresh = |statement, is_older| Current {
+        let first = Begun::by_first(statement.sequence.into());
+        let fresh = |statement, begun| Current {
             statement,
             heard_at: now,
             cold_until,
             is_over: false,
-            is_older,
+            begun,
         };
         let Some(current) = &mut self.current else {
-            self.current = Some(fresh(statement, is_older));
+            self.current = Some(fresh(statement, first));
             return StatementOutcome::NewLife;
         };
         let known = &current.statement;
@@ -166,7 +187,7 @@
                 return StatementOutcome::Stale;
             }
             let changed = known.state != statement.state || known.slots != statement.slots;
-            *current = fresh(statement, current.is_older);
+            *current = fresh(statement, current.begun);
             return if changed {
                 StatementOutcome::Changed
             } else {
@@ -176,7 +197,7 @@
         if statement.born < known.born {
             return StatementOutcome::Stale;
         }
-        self.current = Some(fresh(statement, false));
+        self.current = Some(fresh(statement, Begun::Seen));
         self.life = Life(self.life.0 + 1);
         self.trial_at = None;
         StatementOutcome::NewLife
@@ -246,7 +267,13 @@
     /// not seen. That may be so until it has first reported.
     pub fn is_older(&self) -> bool {
         let current = self.current.as_ref();
-        current.is_none_or(|c| c.is_older && !c.is_over)
+        current.is_none_or(|c| c.begun == Begun::Before && !c.is_over)
+    }
+
+    /// Whether every flow that the server may hold passed by the agent.
+    pub fn is_seen_whole(&self) -> bool {
+        let current = self.current.as_ref();
+        current.is_some_and(|c| c.begun == Begun::Seen)
     }
 
     /// Whether the server has just started and is slow.
--- a/crates/core/tests/testsuite/forwarded/faults.rs
+++ b/crates/core/tests/testsuite/forwarded/faults.rs
@@ -1,13 +1,14 @@
 //! Flows stay whole while nodes and servers come and go; what cannot stay is told at once.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use dogwoodrill_core::forwarded::decision::Step;
 use dogwoodrill_core::forwarded::packet::FlowKey;
 use rstest::rstest;
 
-use super::world::{Change, ORDERS_ADDRESS, Outcome, World, agent_ip};
+use super::world::{Change, ORDERS_ADDRESS, Outcome, SHEETS, World, agent_ip, map, route};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -154,6 +155,131 @@
     assert!(world.breaches.is_empty(), "{:?}", world.breaches);
 }
 
+fn broken_off(world: &World) -> usize {
+    let broken = world.outcomes().get(&Some(Outcome::BrokenOff)).copied();
+    broken.unwrap_or(0)
+}
+
+/// A host loses power and comes back, and knows nothing of the flows that were open at it. Balancers and
+/// keepers send their packets there.
+#[rstest]
+fn callers_are_told_of_flows_that_ended_with_their_host(#[values(1, 2, 3, 4)] seed: u64) {
+    let mut world = World::new(seed, 7, 3, 2);
+    let flows = open_calls(&mut world, 14);
+    let lost = world.holder(flows[0]).unwrap();
+    let there = flows.iter().filter(|f| world.holder(**f) == Some(lost));
+    let there = there.count();
+    world.at(Duration::ZERO, Change::LosePower(lost));
+    world.at(300 * MS, Change::RegainPower(lost));
+    // Agents greet every 250 ms, by ticks of 20 ms, and callers send again after 200 ms.
+    world.run_for(300 * MS + 270 * MS + 200 * MS + 20 * MS);
+    assert_eq!(broken_off(&world), there, "{:?}", world.steps);
+    world.run_for(Duration::from_secs(4));
+    assert_eq!(world.outcomes().get(&Some(Outcome::GaveUp)), None);
+    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+}
+
+/// Everything loses power at once.
+#[rstest]
+fn callers_are_told_after_all_hosts_lost_power(#[values(1, 2, 3)] seed: u64) {
+    let mut world = World::new(seed, 7, 3, 2);
+    let flows = open_calls(&mut world, 14);
+    for n in 0..10 {
+        world.at(Duration::ZERO, Change::LosePower(n));
+        world.at(100 * MS, Change::RegainPower(n));
+    }
+    world.at(Duration::ZERO, Change::RemoveBalancer(0));
+    world.at(Duration::ZERO, Change::RemoveBalancer(1));
+    world.at(100 * MS, Change::AddBalancer);
+    // One second after their start agents trust that they know each other.
+    world.run_for(100 * MS + Duration::from_secs(1) + 250 * MS);
+    assert_eq!(broken_off(&world), flows.len(), "{:?}", world.steps);
+    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+}
+
+/// What the other agents lose while one holds flows: their caches, their directories, the way to it, or
+/// the route that its flows came by. None of that tells that a flow is nowhere.
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    /// The agent is down for a while.
+    Agent { ms: u32 },
+    /// Nothing passes to and from the host for a while.
+    Way { ms: u32 },
+    /// Packets from its zone get lost.
+    OneWay,
+    /// The route leads to another service from now on.
+    Route,
+    /// The agent starts anew soon after its server.
+    AgentOfYoungServer,
+}
+
+#[rstest]
+fn no_living_flow_is_broken_off(
+    #[values(
+        Loss::Agent { ms: 100 },
+        Loss::Agent { ms: 900 },
+        Loss::Agent { ms: 3000 },
+        Loss::Way { ms: 400 },
+        Loss::Way { ms: 1500 },
+        Loss::Way { ms: 3000 },
+        Loss::OneWay,
+        Loss::Route,
+        Loss::AgentOfYoungServer
+    )]
+    loss: Loss,
+    #[values(false, true)] others_restart: bool,
+    #[values(1, 2)] seed: u64,
+) {
+    let mut world = World::new(seed, 3, 3, 2);
+    if matches!(loss, Loss::AgentOfYoungServer) {
+        for n in 0..3 {
+            world.at(Duration::ZERO, Change::StartServer(n));
+        }
+        world.run_for(1200 * MS);
+    }
+    let flows = open_calls(&mut world, 6);
+    let holder = world.holder(flows[0]).unwrap();
+    let (begin, end) = match loss {
+        Loss::Agent { ms } => (
+            Some(Change::KillAgent(holder)),
+            Some((ms, Change::StartAgent(holder))),
+        ),
+        Loss::Way { ms } => (Some(Change::CutHost(holder)), Some((ms, Change::HealCuts))),
+        Loss::OneWay => {
+            let from = holder % 3;
+            let to = (from + 1) % 3;
+            (Some(Change::CutOneWay { from, to }), None)
+        }
+        Loss::Route => {
+            let mut moved = map(2, None);
+            let table = Arc::make_mut(moved.table.as_mut().unwrap());
+            table.routes.insert(ORDERS_ADDRESS, route(SHEETS));
+            world.set_map(moved);
+            (None, None)
+        }
+        Loss::AgentOfYoungServer => (
+            Some(Change::KillAgent(holder)),
+            Some((50, Change::StartAgent(holder))),
+        ),
+    };
+    if let Some(change) = begin {
+        world.at(Duration::ZERO, change);
+    }
+    if let Some((ms, change)) = end {
+        world.at(ms * MS, change);
+    }
+    world.at(10 * MS, Change::AddBalancer);
+    world.at(20 * MS, Change::RemoveBalancer(0));
+    world.at(20 * MS, Change::RemoveBalancer(1));
+    for other in (0..6).filter(|n| others_restart && *n != holder) {
+        world.at(30 * MS, Change::KillAgent(other));
+        world.at(80 * MS, Change::StartAgent(other));
+    }
+    world.run_for(Duration::from_secs(5));
+    assert_eq!(broken_off(&world), 0, "{:?}", world.steps);
+    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+}
+
 /// Every agent is full and has passed packets on; none of them may go round between two of them.
 #[test]
 fn redirections_form_no_ring() {
--- a/crates/core/tests/testsuite/forwarded/world.rs
+++ b/crates/core/tests/testsuite/forwarded/world.rs
@@ -15,6 +15,7 @@
 use dogwoodrill_core::forwarded::agent::{Action, Agent, Fate};
 use dogwoodrill_core::forwarded::balancer::{Balancer, Fate as BalancerFate};
 use dogwoodrill_core::forwarded::decision::{Decision, Reason, Step};
+use dogwoodrill_core::forwarded::inquiry::Denial;
 use dogwoodrill_core::forwarded::keepers::FlowPlace;
 use dogwoodrill_core::forwarded::mesh::{Boot, Greeting, Mesh, NodeAddress};
 use dogwoodrill_core::forwarded::node::NodeRole;
@@ -43,6 +44,9 @@
 const OPENING_LIMIT: Duration = Duration::from_millis(1400);
 const RESEND: Duration = Duration::from_millis(200);
 const SERVER_QUEUE: usize = 8;
+/// Packets that may reach other servers, and the time for which they may, before one reaches its own.
+const ELSEWHERE_PACKETS: u32 = 3;
+const ELSEWHERE_SPAN: Duration = Duration::from_secs(2);
 
 pub const ORDERS: &str = "orders";
 pub const SHEETS: &str = "sheets";
@@ -68,6 +72,7 @@
     ToCaller(Header),
     Reset(FlowKey),
     Greeting(Ipv4Addr, Ipv4Addr, Box<Greeting>, Vec<FlowPlace>),
+    Denial(Ipv4Addr, Ipv4Addr, Denial),
     Done(usize, FlowKey, u64),
     Caller(FlowKey, CallerTimer),
     Call(FlowKey),
@@ -94,7 +99,17 @@
     SlowServer(usize, u32),
     AddBalancer,
     RemoveBalancer(usize),
-    CutOneWay { from: usize, to: usize },
+    CutOneWay {
+        from: usize,
+        to: usize,
+    },
+    /// The host loses power with agent and server.
+    LosePower(usize),
+    /// Both start again.
+    RegainPower(usize),
+    /// Nothing passes between the host and the other nodes.
+    CutHost(usize),
+    HealCuts,
 }
 
 struct Node<T> {
@@ -139,6 +154,8 @@
     is_open: bool,
     server_seq: u32,
     holder: Option<usize>,
+    /// Packets that reached other servers since one reached its own, and when the first of them did.
+    elsewhere: Option<(u32, Instant)>,
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -158,8 +175,11 @@
     Barred(String),
     /// A flow that is open at a living server was reset.
     ResetWhileOpen,
-    /// A packet of an open flow reached another server.
+    /// A packet of an open flow reached another server, by an agent that was sure of it.
     ElsewhereWhileOpen,
+    /// Packets of an open flow that was searched for reached other servers, but for long not its own,
+    /// though its agent was there.
+    LostWhileOpen,
 }
 
 pub struct World {
@@ -414,6 +434,7 @@
             is_open: false,
             server_seq: 0,
             holder: None,
+            elsewhere: None,
         };
         self.callers.insert(flow, caller);
         self.after(after, Event::Call(flow));
@@ -501,6 +522,7 @@
             Event::Greeting(to, from, greeting, places) => {
                 self.greeted(to, from, *greeting, places);
             }
+            Event::Denial(to, from, denial) => self.denied(to, from, denial),
             Event::Done(n, flow, life) => self.done(n, flow, life),
             Event::Caller(flow, timer) => self.caller_timer(flow, timer),
             Event::Call(flow) => self.open(flow),
@@ -571,6 +593,16 @@
         }
     }
 
+    fn denied(&mut self, to: Ipv4Addr, from: Ipv4Addr, denial: Denial) {
+        let now = self.now;
+        if let Some(n) = self.agents.iter().position(|a| a.ip == to)
+            && let Some(core) = &mut self.agents[n].core
+        {
+            core.on_denials(now, from, [denial]);
+            self.act(n);
+        }
+    }
+
     fn agent_tick(&mut self, n: usize, life: u32) {
         let now = self.now;
         if self.agents[n].life != life {
@@ -663,6 +695,11 @@
                         .and_then(|c| c.mesh().heard_age(now, to));
                     self.greet(from, to, greeting(heard), vec![place]);
                 }
+                Action::Deny { to, denial } => {
+                    if !self.is_cut(from, to) {
+                        self.after(HOP, Event::Denial(to, from, denial));
+                    }
+                }
                 Action::CheckPort => {
                     if !self.servers[n].is_up
                         && let Some(core) = &mut self.agents[n].core
@@ -782,8 +819,8 @@
             self.opening_at_server(n, header);
             return;
         }
-        if open_at.is_some_and(|holder| holder != n) {
-            *self.breaches.entry(Breach::ElsewhereWhileOpen).or_insert(0) += 1;
+        if let Some(holder) = open_at.filter(|holder| *holder != n) {
+            self.elsewhere(holder, &header);
         }
         let known = self.servers[n].flows.get(&flow).copied();
         let Some(known) = known.filter(|f| header.ack.wrapping_sub(f.seq) < 1 << 20) else {
@@ -808,6 +845,7 @@
             && caller.outcome.is_none()
         {
             caller.holder = Some(n);
+            caller.elsewhere = None;
         }
         if header.len == 0 || known.is_done {
             if known.is_done {
@@ -827,6 +865,33 @@
         }
     }
 
+    /// A packet of a flow that is open at `holder` reached another server.
+    fn elsewhere(&mut self, holder: usize, header: &Header) {
+        let now = self.now;
+        // A searcher leaves the packet to its own server too, and an agent that started anew one that it
+        // passed on before.
+        let is_searched = match header.trail.purpose {
+            Purpose::Search | Purpose::FirstKeeper | Purpose::SecondKeeper => true,
+            Purpose::Placed => header.trail.hops > 0,
+            Purpose::Kept => false,
+        };
+        if !is_searched {
+            *self.breaches.entry(Breach::ElsewhereWhileOpen).or_insert(0) += 1;
+            return;
+        }
+        let ip = agent_ip(holder);
+        let is_cut = self.cut.iter().any(|(from, to)| *from == ip || *to == ip);
+        let is_there = self.agents[holder].core.is_some() && !is_cut;
+        let Some(caller) = self.callers.get_mut(&header.caller_flow()) else {
+            return;
+        };
+        let (count, since) = caller.elsewhere.filter(|_| is_there).unwrap_or((0, now));
+        caller.elsewhere = Some((count + 1, since));
+        if count + 1 >= ELSEWHERE_PACKETS && now >= since + ELSEWHERE_SPAN {
+            *self.breaches.entry(Breach::LostWhileOpen).or_insert(0) += 1;
+        }
+    }
+
     fn opening_at_server(&mut self, n: usize, header: Header) {
         let flow = header.caller_flow();
         self.check_gate(n, flow);
@@ -1037,6 +1102,22 @@
             Change::SlowServer(n, times) => self.servers[n].slowness = times,
             Change::AddBalancer => self.add_balancer(),
             Change::RemoveBalancer(n) => self.balancers[n].core = None,
+            Change::LosePower(n) => {
+                self.change(Change::KillAgent(n));
+                self.change(Change::CrashServer(n));
+            }
+            Change::RegainPower(n) => {
+                self.change(Change::StartAgent(n));
+                self.change(Change::StartServer(n));
+            }
+            Change::CutHost(n) => {
+                let own = agent_ip(n);
+                let others = (0..3).flat_map(|zone| self.ips_in(zone));
+                for other in others.collect::<Vec<_>>() {
+                    self.cut.extend([(own, other), (other, own)]);
+                }
+            }
+            Change::HealCuts => self.cut.clear(),
             Change::CutOneWay { from, to } => {
                 let from = self.ips_in(from);
                 for from in from {
--- a/crates/wire/src/convert/forwarded.rs
+++ b/crates/wire/src/convert/forwarded.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dogwoodrill_core::forwarded::inquiry::Denial;
 use dogwoodrill_core::forwarded::keepers::FlowPlace;
 use dogwoodrill_core::forwarded::mesh::{Boot, Greeting, NodeAddress, ServerReport};
 use dogwoodrill_core::forwarded::node::NodeRole;
@@ -26,6 +27,19 @@
     pub places: Vec<FlowPlace>,
     /// Nodes that the sender, a control host, knows.
     pub nodes: Vec<NodeAddress>,
+    /// Flows that the receiver searches for and that are not at the sender.
+    pub denials: Vec<Denial>,
+}
+
+impl From<Greeting> for Datagram {
+    fn from(greeting: Greeting) -> Self {
+        Self {
+            greeting,
+            places: Vec::new(),
+            nodes: Vec::new(),
+            denials: Vec::new(),
+        }
+    }
 }
 
 impl From<&Datagram> for wire::Datagram {
@@ -40,6 +54,7 @@
             report: greeting.report.as_ref().map(Into::into),
             places: d.places.iter().map(Into::into).collect(),
             nodes: (!d.nodes.is_empty()).then(|| node_list(&d.nodes)),
+            denials: d.denials.iter().map(Into::into).collect(),
         }
     }
 }
@@ -51,6 +66,7 @@
         let role = NodeRole::try_from(d.role())?;
         let report = d.report.map(ServerReport::try_from).transpose()?;
         let places = d.places.into_iter().map(FlowPlace::try_from);
+        let denials = d.denials.into_iter().map(Denial::try_from);
         Ok(Self {
             greeting: Greeting {
                 boot: Boot::new(d.boot),
@@ -61,6 +77,7 @@
             },
             places: places.collect::<Result<_, _>>()?,
             nodes: d.nodes.map_or_else(Vec::new, addresses),
+            denials: denials.collect::<Result<_, _>>()?,
         })
     }
 }
@@ -172,6 +189,35 @@
     }
 }
 
+impl From<&Denial> for wire::Denial {
+    fn from(d: &Denial) -> Self {
+        Self {
+            caller_ip: d.flow.caller.ip().to_bits(),
+            caller_port: d.flow.caller.port().into(),
+            service_ip: d.flow.service.ip().to_bits(),
+            service_port: d.flow.service.port().into(),
+            agents: d.agents.into(),
+            settled: d.is_settled,
+        }
+    }
+}
+
+impl TryFrom<wire::Denial> for Denial {
+    type Error = ConvertError;
+
+    fn try_from(d: wire::Denial) -> Result<Self, Self::Error> {
+        let flow = FlowKey {
+            caller: end("caller port", d.caller_ip, d.caller_port)?,
+            service: end("service port", d.service_ip, d.service_port)?,
+        };
+        Ok(Self {
+            flow,
+            agents: d.agents.into(),
+            is_settled: d.settled,
+        })
+    }
+}
+
 fn end(field: &'static str, ip: u32, port: u32) -> Result<SocketAddrV4, ConvertError> {
     Ok(SocketAddrV4::new(
         Ipv4Addr::from_bits(ip),
--- a/crates/wire/tests/testsuite/forwarded.rs
+++ b/crates/wire/tests/testsuite/forwarded.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
+use dogwoodrill_core::forwarded::inquiry::{AgentSet, Denial};
 use dogwoodrill_core::forwarded::keepers::FlowPlace;
 use dogwoodrill_core::forwarded::mesh::{Boot, Greeting, NodeAddress, ServerReport};
 use dogwoodrill_core::forwarded::node::NodeRole;
@@ -50,21 +51,22 @@
     }
 }
 
-fn datagram(greeting: Greeting) -> Datagram {
-    Datagram {
-        greeting,
-        places: Vec::new(),
-        nodes: Vec::new(),
+fn denial(n: u8) -> Denial {
+    Denial {
+        flow: place(n).flow,
+        agents: AgentSet::from(u64::MAX),
+        is_settled: n == 1,
     }
 }
 
 #[rstest]
-#[case::balancer(datagram(greeting(NodeRole::Balancer)))]
-#[case::heard(datagram(Greeting { heard: Some(Duration::from_millis(250)), ..greeting(NodeRole::Agent) }))]
-#[case::report(datagram(Greeting { report: Some(report(None)), ..greeting(NodeRole::Agent) }))]
-#[case::measured(datagram(Greeting { report: Some(report(Some(Duration::from_micros(15_432)))), ..greeting(NodeRole::Agent) }))]
-#[case::places(Datagram { places: vec![place(1), place(2)], ..datagram(greeting(NodeRole::Agent)) })]
-#[case::nodes(Datagram { nodes: [NodeRole::Balancer, NodeRole::Agent, NodeRole::Control].map(|role| NodeAddress { ip: Ipv4Addr::new(10, 1, 0, 9), role }).to_vec(), ..datagram(greeting(NodeRole::Control)) })]
+#[case::balancer(Datagram::from(greeting(NodeRole::Balancer)))]
+#[case::heard(Datagram::from(Greeting { heard: Some(Duration::from_millis(250)), ..greeting(NodeRole::Agent) }))]
+#[case::report(Datagram::from(Greeting { report: Some(report(None)), ..greeting(NodeRole::Agent) }))]
+#[case::measured(Datagram::from(Greeting { report: Some(report(Some(Duration::from_micros(15_432)))), ..greeting(NodeRole::Agent) }))]
+#[case::places(Datagram { places: vec![place(1), place(2)], ..Datagram::from(greeting(NodeRole::Agent)) })]
+#[case::nodes(Datagram { nodes: [NodeRole::Balancer, NodeRole::Agent, NodeRole::Control].map(|role| NodeAddress { ip: Ipv4Addr::new(10, 1, 0, 9), role }).to_vec(), ..Datagram::from(greeting(NodeRole::Control)) })]
+#[case::denials(Datagram { denials: vec![denial(1), denial(2)], ..Datagram::from(greeting(NodeRole::Agent)) })]
 fn a_datagram_arrives_as_it_was(#[case] sent: Datagram) {
     let bytes = wire::Datagram::from(&sent).encode_to_vec();
     let read = wire::Datagram::decode(&*bytes).unwrap();
@@ -74,7 +76,7 @@
 /// Forty places fit into a datagram that no link splits.
 #[test]
 fn places_fit_into_a_packet() {
-    let mut sent = datagram(Greeting {
+    let mut sent = Datagram::from(Greeting {
         heard: Some(Duration::from_secs(3)),
         report: Some(report(Some(Duration::from_secs(1)))),
         ..greeting(NodeRole::Agent)
@@ -126,6 +128,7 @@
 
 #[rstest]
 #[case::no_role(wire::Datagram::default())]
+#[case::denied_port_too_large(wire::Datagram { role: 2, denials: vec![wire::Denial { service_port: 70_000, ..wire::Denial::default() }], ..wire::Datagram::default() })]
 #[case::port_too_large(wire::Datagram { role: 2, places: vec![wire::FlowPlace { caller_port: 70_000, ..wire::FlowPlace::default() }], ..wire::Datagram::default() })]
 #[case::zone_is_no_name(wire::Datagram { role: 2, report: Some(wire::ServerReport { zone: "A B".to_owned(), ..wire::ServerReport::default() }), ..wire::Datagram::default() })]
 fn a_malformed_datagram_is_refused(#[case] datagram: wire::Datagram) {
@@ -176,7 +179,7 @@
         ..RouteTable::default()
     };
     let table = wire::RouteTable::from(&table).encoded_len();
-    let mut places = datagram(greeting(NodeRole::Agent));
+    let mut places = Datagram::from(greeting(NodeRole::Agent));
     let empty = wire::Datagram::from(&places).encoded_len();
     places.places = (0..40).map(place).collect();
     let places = wire::Datagram::from(&places).encoded_len() - empty;
--- a/src/forwarded/agent.rs
+++ b/src/forwarded/agent.rs
@@ -12,6 +12,7 @@
 use dogwoodrill_core::forwarded::node::{AgentSockets, NodeRole, NodeSettings};
 use dogwoodrill_core::forwarded::packet::Header;
 use dogwoodrill_core::forwarded::server::{ServerStatement, StatementOutcome};
+use dogwoodrill_wire::convert::forwarded::Datagram;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep_until, timeout};
@@ -324,6 +325,14 @@
                 Action::TellKeeper { to, place } => {
                     self.to_keepers.entry(to).or_default().push(place);
                 }
+                Action::Deny { to, denial } => {
+                    let greeting = self.greeting_to(to, self.agent.map().index.get());
+                    let datagram = Datagram {
+                        denials: vec![denial],
+                        ..Datagram::from(greeting)
+                    };
+                    self.datagrams.send(to, &datagram);
+                }
                 Action::CheckPort => {
                     let (server, tx) = (self.server, self.handle.tx.clone());
                     let looked_at = Instant::now();
@@ -356,7 +365,9 @@
                 self.fetcher.on_index(from, theirs, own);
             }
             self.agent.on_places(now, from, datagram.places);
+            self.agent.on_denials(now, from, datagram.denials);
         }
+        self.act();
     }
 
     fn on_fetched(&mut self, fetched: Fetched) {
--- a/src/forwarded/control.rs
+++ b/src/forwarded/control.rs
@@ -456,9 +456,8 @@
         let heard = self.mesh.heard_age(now, to);
         let greeting = self.datagrams.greeting(heard, index, None);
         let datagram = Datagram {
-            greeting,
-            places: Vec::new(),
             nodes,
+            ..Datagram::from(greeting)
         };
         self.datagrams.send(to, &datagram);
     }
--- a/src/forwarded/datagrams.rs
+++ b/src/forwarded/datagrams.rs
@@ -129,12 +129,8 @@
     ) {
         for node in mesh.due(now) {
             let heard = mesh.heard_age(now, node.ip);
-            let datagram = Datagram {
-                greeting: self.greeting(heard, index, report.cloned()),
-                places: Vec::new(),
-                nodes: Vec::new(),
-            };
-            self.send(node.ip, &datagram);
+            let greeting = self.greeting(heard, index, report.cloned());
+            self.send(node.ip, &greeting.into());
         }
     }
 
@@ -142,9 +138,8 @@
     pub fn tell_places(&mut self, to: Ipv4Addr, greeting: &Greeting, places: &[FlowPlace]) {
         for places in places.chunks(PLACES_PER_DATAGRAM) {
             let datagram = Datagram {
-                greeting: greeting.clone(),
                 places: places.to_vec(),
-                nodes: Vec::new(),
+                ..Datagram::from(greeting.clone())
             };
             self.send(to, &datagram);
         }
