Add a soak of the real processes under faults from outside

Three control hosts, three balancers and six agents run as processes on loopback, between a proxy that drops, delays and resets, callers, servers and an operator; faults come in series that overlap, drawn from a seed. What callers, servers and the operator see is checked against the promises (docs/soak.md).

The packets of the two ends are written by platform/, where their format already was.

--- a/crates/core/src/forwarded/node.rs
+++ b/crates/core/src/forwarded/node.rs
@@ -91,6 +91,9 @@
     pub name: String,
     /// The host's address, which names the node to the others.
     pub ip: Ipv4Addr,
+    /// The address that the node binds for what is said between nodes; another one where the others
+    /// reach the host through an address translation.
+    pub bind_ip: Ipv4Addr,
     /// The host's availability zone.
     pub zone: AvailabilityZone,
     /// The first port for the system's own messages, UDP and TCP; the same on all hosts.
--- /dev/null
+++ b/crates/soak/src/callers.rs
@@ -0,0 +1,299 @@
+//! Callers, and the fabric that takes their packets to balancers.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use dogwoodrill_core::forwarded::packet::{Flags, FlowKey, Header, PacketFormat, Purpose, Trail};
+use dogwoodrill_platform::packet::{HEADER_BYTES, PlatformPackets, write};
+use http::Method;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, sleep_until, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::checker::Checker;
+use crate::http::call;
+use crate::network::{Host, Layout, balancers, lock};
+use crate::operator::{ORDERS_ADDRESS, SHEETS_ADDRESS};
+use crate::servers::request_of;
+
+/// Hosts of callers, each with flows of its own.
+const CALLERS: u8 = 4;
+/// Flows that one host opens in a second.
+const FLOWS_PER_SECOND: f64 = 15.0;
+/// Share of flows that stay open for several requests.
+const LONG_SHARE: f64 = 0.3;
+const LONG_REQUESTS: u32 = 20;
+/// Pause between two requests of a long flow.
+const PAUSE: Duration = Duration::from_millis(250);
+/// When copies of the opening packet are sent, and when the caller gives up.
+const COPIES: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(600)];
+const OPENING_LIMIT: Duration = Duration::from_millis(1400);
+/// Time for a request on an open flow.
+const REQUEST_LIMIT: Duration = Duration::from_secs(3);
+const FIRST_RESEND: Duration = Duration::from_millis(200);
+const MOST_RESEND: Duration = Duration::from_millis(1600);
+const REQUEST_BYTES: usize = 100;
+/// Time between two health checks; a balancer that fails two is left out.
+const HEALTH_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The fabric: which balancers get packets.
+#[derive(Debug)]
+struct Fabric {
+    layout: Layout,
+    misses: Mutex<HashMap<Host, u32>>,
+}
+
+impl Fabric {
+    async fn watch(self: Arc<Self>) {
+        loop {
+            for host in balancers() {
+                let to = SocketAddrV4::new(self.layout.own(host), self.layout.ready);
+                let answer = call(to, Method::GET, "/ready", "").await;
+                let ready = answer.is_some_and(|(status, _)| status.is_success());
+                let mut misses = lock(&self.misses);
+                let count = misses.entry(host).or_insert(2);
+                *count = if ready { 0 } else { *count + 1 };
+            }
+            sleep(HEALTH_INTERVAL).await;
+        }
+    }
+
+    /// By the flow over the balancers that are there, so nearly all flows move when one comes or goes.
+    fn balancer(&self, flow: FlowKey) -> Ipv4Addr {
+        let misses = lock(&self.misses);
+        let all: Vec<_> = balancers().collect();
+        let there = all.iter().filter(|h| misses.get(h).is_none_or(|m| *m < 2));
+        let mut there: Vec<_> = there.collect();
+        if there.is_empty() {
+            there = all.iter().collect();
+        }
+        let hash = usize::from(flow.caller.port()) * 31 + usize::from(flow.caller.ip().octets()[3]);
+        self.layout.own(*there[hash % there.len()])
+    }
+}
+
+type Inbox = mpsc::Receiver<(Header, Vec<u8>)>;
+type Flows = HashMap<u16, mpsc::Sender<(Header, Vec<u8>)>>;
+
+/// A host of callers.
+#[derive(Debug)]
+struct Caller {
+    ip: Ipv4Addr,
+    socket: UdpSocket,
+    fabric: Arc<Fabric>,
+    checker: Arc<Checker>,
+    flows: Mutex<Flows>,
+}
+
+/// Starts the callers, which go on until `stop` is cancelled.
+pub async fn start(
+    layout: Layout,
+    checker: &Arc<Checker>,
+    stop: &CancellationToken,
+    seed: u64,
+) -> io::Result<()> {
+    let fabric = Arc::new(Fabric {
+        layout,
+        misses: Mutex::default(),
+    });
+    let watch = Arc::clone(&fabric).watch();
+    tokio::spawn(stop.clone().run_until_cancelled_owned(watch));
+    for n in 1..=CALLERS {
+        let ip = layout.caller(n);
+        let caller = Arc::new(Caller {
+            ip,
+            socket: UdpSocket::bind((ip, layout.packets)).await?,
+            fabric: Arc::clone(&fabric),
+            checker: Arc::clone(checker),
+            flows: Mutex::default(),
+        });
+        let rng = StdRng::seed_from_u64(seed ^ u64::from(n));
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = Arc::clone(&caller).receive() => {}
+                () = Arc::clone(&caller).open_flows(rng, stop.clone()) => {}
+            }
+        });
+    }
+    Ok(())
+}
+
+/// A flow of a caller that is open.
+struct OpenFlow {
+    key: FlowKey,
+    /// The server's first position.
+    server_seq: u32,
+    seq: u32,
+    ack: u32,
+}
+
+impl Caller {
+    async fn receive(self: Arc<Self>) {
+        let mut buf = [0; 2048];
+        loop {
+            let Ok(len) = self.socket.recv(&mut buf).await else {
+                continue;
+            };
+            let Ok(header) = PlatformPackets.read(&buf[..len]) else {
+                self.checker.find("a caller got bytes that are no packet");
+                continue;
+            };
+            let data = buf[HEADER_BYTES..len].to_vec();
+            let flow = lock(&self.flows).get(&header.target.port()).cloned();
+            if let Some(tx) = flow {
+                // A flow that takes nothing more has ended.
+                drop(tx.try_send((header, data)));
+            }
+        }
+    }
+
+    async fn open_flows(self: Arc<Self>, mut rng: StdRng, stop: CancellationToken) {
+        let mut port = 10_000;
+        loop {
+            let gap = -rng.random_range(1e-9_f64..1.0).ln() / FLOWS_PER_SECOND;
+            sleep(Duration::from_secs_f64(gap)).await;
+            port = if port == u16::MAX { 10_000 } else { port + 1 };
+            let is_long = rng.random_bool(LONG_SHARE);
+            let service = if rng.random_bool(0.7) {
+                ORDERS_ADDRESS
+            } else {
+                SHEETS_ADDRESS
+            };
+            let key = FlowKey {
+                caller: SocketAddrV4::new(self.ip, port),
+                service,
+            };
+            let this = Arc::clone(&self);
+            let (first_seq, requests) = (rng.random(), if is_long { LONG_REQUESTS } else { 1 });
+            tokio::spawn(stop.clone().run_until_cancelled_owned(async move {
+                this.flow(key, first_seq, requests).await;
+            }));
+        }
+    }
+
+    async fn flow(&self, key: FlowKey, first_seq: u32, requests: u32) {
+        let (tx, mut rx) = mpsc::channel(64);
+        lock(&self.flows).insert(key.caller.port(), tx);
+        match self.open(key, first_seq, &mut rx).await {
+            Some(mut flow) => {
+                for n in 0..requests {
+                    if n > 0 {
+                        sleep(PAUSE).await;
+                    }
+                    let served = self.request(&mut flow, &mut rx).await;
+                    self.checker.on_end(served);
+                    if !served {
+                        break;
+                    }
+                }
+                self.send(&flow, Flags::FIN | Flags::ACK, &[]).await;
+                self.checker.on_flow_end(key);
+            }
+            None => self.checker.on_end(false),
+        }
+        lock(&self.flows).remove(&key.caller.port());
+    }
+
+    async fn open(&self, key: FlowKey, first_seq: u32, rx: &mut Inbox) -> Option<OpenFlow> {
+        let began_at = Instant::now();
+        let due = [Duration::ZERO].into_iter().chain(COPIES).zip(0..);
+        let mut due = due.peekable();
+        loop {
+            let next = due.peek().map_or(OPENING_LIMIT, |(at, _)| *at);
+            tokio::select! {
+                () = sleep_until((began_at + next).into()) => {
+                    let (_, copy) = due.next()?;
+                    let header = Header {
+                        source: key.caller,
+                        target: key.service,
+                        flags: Flags::SYN,
+                        seq: first_seq,
+                        ack: copy,
+                        len: 0,
+                        trail: unset(),
+                    };
+                    self.send_packet(key, &write(&header, &[])).await;
+                }
+                Some((header, _)) = rx.recv() => {
+                    if header.flags.has(Flags::RST) {
+                        return None;
+                    }
+                    if header.flags.has(Flags::SYN) {
+                        return Some(OpenFlow {
+                            key,
+                            server_seq: header.seq,
+                            seq: first_seq.wrapping_add(1),
+                            ack: header.seq.wrapping_add(1),
+                        });
+                    }
+                }
+            }
+        }
+    }
+
+    /// One request on an open flow; true if it was answered.
+    async fn request(&self, flow: &mut OpenFlow, rx: &mut Inbox) -> bool {
+        let request = self.checker.request();
+        let mut data = u64::from(request).to_be_bytes().to_vec();
+        data.resize(REQUEST_BYTES, 0);
+        let until = Instant::now() + REQUEST_LIMIT;
+        let mut resend = FIRST_RESEND;
+        while Instant::now() < until {
+            self.send(flow, Flags::ACK, &data).await;
+            let again_at = (Instant::now() + resend).min(until);
+            resend = (resend * 2).min(MOST_RESEND);
+            while let Ok(Some((header, answer))) = timeout(
+                again_at.saturating_duration_since(Instant::now()),
+                rx.recv(),
+            )
+            .await
+            {
+                if header.flags.has(Flags::RST) {
+                    self.checker.on_reset(flow.key);
+                    return false;
+                }
+                if header.len > 0 && header.seq == flow.ack {
+                    let answered = request_of(&answer).unwrap_or(0.into());
+                    let (key, seq) = (flow.key, flow.server_seq);
+                    self.checker.on_answer(key, seq, request, answered);
+                    flow.ack = flow.ack.wrapping_add(header.len.into());
+                    let bytes = u32::try_from(REQUEST_BYTES).unwrap_or(u32::MAX);
+                    flow.seq = flow.seq.wrapping_add(bytes);
+                    return true;
+                }
+            }
+        }
+        false
+    }
+
+    async fn send(&self, flow: &OpenFlow, flags: Flags, data: &[u8]) {
+        let header = Header {
+            source: flow.key.caller,
+            target: flow.key.service,
+            flags,
+            seq: flow.seq,
+            ack: flow.ack,
+            len: u16::try_from(data.len()).unwrap_or(u16::MAX),
+            trail: unset(),
+        };
+        self.send_packet(flow.key, &write(&header, data)).await;
+    }
+
+    async fn send_packet(&self, flow: FlowKey, packet: &[u8]) {
+        let to = (self.fabric.balancer(flow), self.fabric.layout.packets);
+        // A balancer that is down loses it.
+        drop(self.socket.send_to(packet, to).await);
+    }
+}
+
+const fn unset() -> Trail {
+    Trail::from_balancer(Ipv4Addr::UNSPECIFIED, Purpose::Placed)
+}
--- a/src/bin/dogwoodrill/node.rs
+++ b/src/bin/dogwoodrill/node.rs
@@ -1,5 +1,6 @@
 //! `dogwoodrill node`.
 
+use std::net::Ipv4Addr;
 use std::path::PathBuf;
 
 use dogwoodrill::ops::{self, NodeOptions};
@@ -24,14 +25,19 @@
         meta = "FILE"
     )]
     settings: Option<PathBuf>,
+    #[options(
+        no_short,
+        help = "address to bind for other nodes (default: the one that they know, from the settings)",
+        meta = "IP"
+    )]
+    bind: Option<Ipv4Addr>,
 }
 
 /// Runs the subcommand.
 pub async fn run(cli: Cli) -> Report {
-    let settings = cli.settings;
-    Report::of_daemon(
-        ops::run_node(NodeOptions { settings })
-            .await
-            .map_err(Into::into),
-    )
+    let options = NodeOptions {
+        settings: cli.settings,
+        bind: cli.bind,
+    };
+    Report::of_daemon(ops::run_node(options).await.map_err(Into::into))
 }
--- a/src/forwarded/control.rs
+++ b/src/forwarded/control.rs
@@ -141,10 +141,11 @@
         journal: Journal,
     ) -> Result<Self, ControlNodeError> {
         let address = SocketAddr::from((settings.ip, settings.inner_port));
-        let listener = TcpListener::bind(address).await;
-        let listener = Arc::new(listener.context(ListenSnafu { address })?);
+        let bind = SocketAddr::from((settings.bind_ip, settings.inner_port));
+        let listener = TcpListener::bind(bind).await;
+        let listener = Arc::new(listener.context(ListenSnafu { address: bind })?);
         let datagrams = Datagrams::bind(settings, SocketCalls::register(&cx.metrics))
-            .context(ListenSnafu { address })?;
+            .context(ListenSnafu { address: bind })?;
         let founders = founders(settings, places);
         let own_id = founders.as_ref().map(|_| founder_id(address));
         let storage = Storage::open(cx.node, &places.data, own_id)?;
--- a/src/forwarded/datagrams.rs
+++ b/src/forwarded/datagrams.rs
@@ -52,7 +52,7 @@
 impl Datagrams {
     /// Binds the socket of a node in a new life.
     pub fn bind(settings: &NodeSettings, calls: SocketCalls) -> std::io::Result<Self> {
-        let address = SocketAddrV4::new(settings.ip, settings.inner_port);
+        let address = SocketAddrV4::new(settings.bind_ip, settings.inner_port);
         Ok(Self {
             socket: PacketSocket::bind(address, calls)?,
             port: settings.inner_port,
--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -4,7 +4,7 @@
 //! `dogwoodrill-platform` and handed to the drivers of [`crate::forwarded`].
 
 use std::error::Error;
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,6 +50,8 @@
 pub struct NodeOptions {
     /// The settings file; none to take the one that the platform names in the environment.
     pub settings: Option<PathBuf>,
+    /// The address to bind for what is said between nodes; none for the one that names the node.
+    pub bind: Option<Ipv4Addr>,
 }
 
 /// Why the process ended.
@@ -104,7 +106,8 @@
 pub async fn run_node(options: NodeOptions) -> Result<(), NodeError> {
     let named = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
     let path = options.settings.or(named).context(NoSettingsSnafu)?;
-    let settings = settings::read(&path)?;
+    let mut settings = settings::read(&path)?;
+    settings.bind_ip = options.bind.unwrap_or(settings.bind_ip);
     let role = settings.role.role();
     logs::install_for_stdout();
     let mut journal = Journal::start(&settings.name);
@@ -206,7 +209,7 @@
     }
 
     async fn monitor(&self, cluster: Arc<Cluster>) -> Result<(), NodeError> {
-        let address = SocketAddrV4::new(self.settings.ip, METRICS_PORT);
+        let address = SocketAddrV4::new(self.settings.bind_ip, METRICS_PORT);
         let health = Health::Node(cluster, self.stop.clone());
         let monitor = Monitor::bind(&self.cx, address.into(), health).await?;
         tokio::spawn(Arc::new(monitor).run());
--- a/tests/testsuite/forwarded/hosts.rs
+++ b/tests/testsuite/forwarded/hosts.rs
@@ -83,6 +83,7 @@
     NodeSettings {
         name: format!("host-{ip}"),
         ip,
+        bind_ip: ip,
         zone: "north".parse().unwrap(),
         inner_port: ports.inner,
         seeds: seeds.to_vec(),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod requests;
 mod settings;
 mod slo;
+mod soak;
 mod spread;
 mod supervisor;
 mod support;
