Serve metrics and the platform's calls by one HTTP server

Cause: src/ops/node/http.rs and src/monitor.rs each had an accept loop, limits and a connection's settings of their own. Change: one server in src/http.rs with its limits as an argument; the monitor's page and the health check are two of its answers. No change of behaviour but that a call with a body of over 1 KiB to the monitor is refused, and connections to it that fall silent are given up after 5 s as on the other ports.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod control;
 pub mod credentials;
 pub mod forwarded;
+mod http;
 pub mod logs;
 pub mod monitor;
 pub mod operator;
--- a/src/monitor.rs
+++ b/src/monitor.rs
@@ -7,41 +7,34 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
+use ::http::header::{CONTENT_TYPE, HeaderValue};
+use ::http::{Method, StatusCode};
 use bytes::Bytes;
 use derive_more::Display;
 use dogwoodrill_core::ids::LogIndex;
 use dogwoodrill_spread::Standing;
-use http::header::{CONTENT_TYPE, HeaderValue};
-use http::{Method, Request, Response, StatusCode};
-use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use prometheus::process_collector::ProcessCollector;
 use prometheus::{Registry, TEXT_FORMAT, TextEncoder};
 use snafu::{ResultExt, Snafu};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
-use tokio::time::sleep;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::balancer::health::FabricHealth;
 use crate::cluster::Cluster;
 use crate::context::Cx;
+use crate::http::{Answer, Limits, Reply, Server, text};
 
 mod metrics;
 
 pub use metrics::ProcessMetrics;
 
-/// Connections that may be open at once.
-const MAX_CONNECTIONS: usize = 64;
-/// Time for the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
-/// Pause after the host refused to accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// What watchers may take; their calls have no bodies worth reading.
+const LIMITS: Limits = Limits {
+    connections: 64,
+    body_bytes: 1024,
+};
 
 /// The port could not be bound.
 #[derive(Debug, Snafu)]
@@ -119,9 +112,7 @@
 #[derive(Debug)]
 pub struct Monitor {
     listener: TcpListener,
-    registry: Registry,
-    health: Health,
-    permits: Arc<Semaphore>,
+    page: Arc<Page>,
 }
 
 impl Monitor {
@@ -134,9 +125,10 @@
         drop(cx.metrics.register(Box::new(ProcessCollector::for_self())));
         Ok(Self {
             listener,
-            registry: cx.metrics.clone(),
-            health,
-            permits: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
+            page: Arc::new(Page {
+                registry: cx.metrics.clone(),
+                health,
+            }),
         })
     }
 
@@ -147,45 +139,31 @@
 
     /// Answers until its task ends.
     pub async fn run(self: Arc<Self>) -> Result<(), Infallible> {
-        loop {
-            let permits = Arc::clone(&self.permits);
-            let permit = permits.acquire_owned().await;
-            match self.listener.accept().await {
-                Ok((stream, _)) => {
-                    let this = Arc::clone(&self);
-                    tokio::spawn(async move {
-                        this.serve(stream).await;
-                        drop(permit);
-                    });
-                }
-                Err(_) => sleep(ACCEPT_PAUSE).await,
-            }
-        }
+        let server = Server::new(Arc::clone(&self.page), LIMITS);
+        match server.run(&self.listener).await {}
     }
+}
 
-    async fn serve(self: Arc<Self>, stream: TcpStream) {
-        let answer = service_fn(move |req| {
-            let this = Arc::clone(&self);
-            async move { Ok::<_, Infallible>(this.answer(&req)) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .serve_connection(TokioIo::new(stream), answer);
-        // A caller that went away is its own affair.
-        drop(connection.await);
-    }
+/// What is served.
+#[derive(Debug)]
+struct Page {
+    registry: Registry,
+    health: Health,
+}
 
-    fn answer(&self, req: &Request<Incoming>) -> Response<Full<Bytes>> {
-        match (req.method(), req.uri().path()) {
-            (&Method::GET | &Method::HEAD, "/metrics") => self.metrics(),
-            (&Method::GET | &Method::HEAD, "/healthz") => self.health(),
+impl Answer for Page {
+    async fn answer(&self, method: Method, path: String, _body: Bytes) -> Reply {
+        match (method, path.as_str()) {
+            (Method::GET | Method::HEAD, "/metrics") => self.metrics(),
+            (Method::GET | Method::HEAD, "/healthz") => self.health(),
             (_, "/metrics" | "/healthz") => text(StatusCode::METHOD_NOT_ALLOWED, "use GET\n"),
             _ => text(StatusCode::NOT_FOUND, "here are /metrics and /healthz\n"),
         }
     }
+}
 
-    fn health(&self) -> Response<Full<Bytes>> {
+impl Page {
+    fn health(&self) -> Reply {
         let condition = self.health.condition();
         let status = if condition.is_healthy() {
             StatusCode::OK
@@ -195,7 +173,7 @@
         text(status, format!("{condition}\n"))
     }
 
-    fn metrics(&self) -> Response<Full<Bytes>> {
+    fn metrics(&self) -> Reply {
         let encoded = TextEncoder::new().encode_to_string(&self.registry.gather());
         let Ok(encoded) = encoded else {
             return text(
@@ -209,9 +187,3 @@
         response
     }
 }
-
-fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(body.into()));
-    *response.status_mut() = status;
-    response
-}
--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -13,6 +13,7 @@
 use dogwoodrill_core::forwarded::mesh::NodeAddress;
 use dogwoodrill_core::forwarded::node::{NodeRole, NodeSettings, RoleSettings};
 use dogwoodrill_core::forwarded::service_map::RouteTable;
+use dogwoodrill_platform::calls::MAX_BODY_BYTES;
 use dogwoodrill_platform::document;
 use dogwoodrill_platform::packet::PlatformPackets;
 use dogwoodrill_platform::settings::{self, SETTINGS_VARIABLE, SettingsError};
@@ -29,15 +30,14 @@
 use crate::forwarded::balancer::BalancerNode;
 use crate::forwarded::control::{ControlNode, ControlNodeError, node_of};
 use crate::forwarded::journal::{Event, Journal};
+use crate::http::{Answer, Limits, Server};
 use crate::logs;
 use crate::monitor::{Health, Monitor, MonitorError};
 
-mod http;
 mod operators;
+mod ready;
 mod servers;
 
-use http::Server;
-
 /// Time between two looks at the settings file; it may change without a signal.
 const SETTINGS_PAUSE: Duration = Duration::from_secs(1);
 /// Looks at the file after which the seeds are told again, so that nobody forgets them.
@@ -45,6 +45,12 @@
 /// TCP port of the metrics on every host; `deploy/system.toml` names it.
 const METRICS_PORT: u16 = 9464;
 
+/// What the platform's calls may take: some hundred operators and servers, and configurations of its size.
+const LIMITS: Limits = Limits {
+    connections: 256,
+    body_bytes: MAX_BODY_BYTES,
+};
+
 /// What the process is started with.
 #[derive(Clone, Debug)]
 pub struct NodeOptions {
@@ -170,7 +176,7 @@
                     self.serve_ready(ready, node.ready()).await?;
                 }
                 let calls = servers::Calls::new(node.handle(), sockets.service.clone());
-                self.serve(sockets.reports, Server::new(calls)).await?;
+                self.serve(sockets.reports, calls).await?;
                 self.monitor(Arc::default()).await?;
                 node.run(self.seeds, self.stop).await
             }
@@ -179,7 +185,7 @@
                 let node = ControlNode::bind(cx, settings, places, read_document, journal).await?;
                 let port = places.operators.port();
                 let calls = operators::Calls::new(node.handle(), node.cluster(), port);
-                self.serve(places.operators, Server::new(calls)).await?;
+                self.serve(places.operators, calls).await?;
                 self.monitor(node.cluster()).await?;
                 return Ok(Box::pin(node.run(self.seeds, self.stop)).await?);
             }
@@ -192,19 +198,15 @@
         address: SocketAddrV4,
         ready: watch::Receiver<bool>,
     ) -> Result<(), NodeError> {
-        self.serve(address, Server::new(http::Ready::new(ready)))
-            .await
+        self.serve(address, ready::Ready::new(ready)).await
     }
 
-    async fn serve<C: http::Answer>(
-        &self,
-        address: SocketAddrV4,
-        server: Server<C>,
-    ) -> Result<(), NodeError> {
+    async fn serve<C: Answer>(&self, address: SocketAddrV4, calls: C) -> Result<(), NodeError> {
         let role = self.settings.role.role();
         let listener = TcpListener::bind(address).await;
         let listener = listener.context(BindSnafu { role })?;
-        tokio::spawn(server.run(listener));
+        let server = Server::new(Arc::new(calls), LIMITS);
+        tokio::spawn(async move { server.run(&listener).await });
         Ok(())
     }
 
--- a/src/ops/node/operators.rs
+++ b/src/ops/node/operators.rs
@@ -11,9 +11,9 @@
 use http::header::{HeaderValue, LOCATION};
 use http::{Method, StatusCode};
 
-use super::http::{Answer, Reply, json, text};
 use crate::cluster::Cluster;
 use crate::control::handle::Handle;
+use crate::http::{Answer, Reply, json, text};
 
 /// Tries to change a zone that others change at the same time.
 const ZONE_TRIES: u32 = 8;
--- /dev/null
+++ b/src/ops/node/ready.rs
@@ -0,0 +1,30 @@
+//! The health check of a process of the platform.
+
+use bytes::Bytes;
+use dogwoodrill_platform::calls::READY_PATH;
+use http::{Method, StatusCode};
+use tokio::sync::watch;
+
+use crate::http::{Answer, Reply, text};
+
+/// Answers the health check.
+#[derive(Debug)]
+pub(super) struct Ready {
+    ready: watch::Receiver<bool>,
+}
+
+impl Ready {
+    pub(super) const fn new(ready: watch::Receiver<bool>) -> Self {
+        Self { ready }
+    }
+}
+
+impl Answer for Ready {
+    async fn answer(&self, _method: Method, path: String, _body: Bytes) -> Reply {
+        match (path.as_str(), *self.ready.borrow()) {
+            (READY_PATH, true) => text(StatusCode::OK, "ready\n"),
+            (READY_PATH, false) => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            _ => text(StatusCode::NOT_FOUND, format!("here is {READY_PATH}\n")),
+        }
+    }
+}
--- a/src/ops/node/servers.rs
+++ b/src/ops/node/servers.rs
@@ -6,8 +6,8 @@
 use dogwoodrill_platform::calls::{self, ServerCall};
 use http::{Method, StatusCode};
 
-use super::http::{Answer, Reply, json, text};
 use crate::forwarded::agent::ServerHandle;
+use crate::http::{Answer, Reply, json, text};
 
 /// Answers a backend server.
 #[derive(Debug)]
