--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -18,39 +18,39 @@
 struct Cli {
     #[options(help = "print this help")]
     help: bool,
-    #[options(no_short, help = "first seed (default 1)", meta = "N", default = "1")]
+    #[options(no_short, help = "first seed", meta = "N", default = "1")]
     first: u64,
     #[options(
         no_short,
-        help = "how many seeds (default 1)",
+        help = "how many seeds",
         meta = "N",
         default = "1"
     )]
     seeds: u64,
     #[options(
         no_short,
-        help = "seconds of faults (default 20)",
+        help = "seconds of faults",
         meta = "S",
         default = "20"
     )]
     seconds: u64,
     #[options(
         no_short,
-        help = "seeds at the same time (default 1)",
+        help = "seeds at the same time",
         meta = "N",
         default = "1"
     )]
     lanes: u8,
     #[options(
         no_short,
-        help = "the program (default target/release/dogwoodrill)",
+        help = "the program",
         meta = "FILE",
         default = "target/release/dogwoodrill"
     )]
     program: PathBuf,
     #[options(
         no_short,
-        help = "where the logs of seeds with findings go (default target/soak)",
+        help = "where the logs of seeds with findings go",
         meta = "DIR",
         default = "target/soak"
     )]
