Break off no flow that a search only left with a server

Two findings of the search for flows that are nowhere:

An agent that had started anew had left a searched packet to its server; when that server's life ended, the agent broke the flow off as one of its own. Until the server has shown that it holds a flow, the agent now only denies it then.

Ruled out: denials that were counted wrongly (no `found nowhere` line).

Tests, failing before: a_server_that_ends_during_a_search_takes_no_foreign_ flow_with_it (all 14 flows broken off), a_server_that_resets_foreign_flows_ harms_nobody (all 14).

--- a/crates/core/src/forwarded/agent.rs
+++ b/crates/core/src/forwarded/agent.rs
@@ -27,7 +27,7 @@
 use super::inquiry::{Denial, Inquiries};
 use super::keepers::{FlowDirectory, FlowPlace};
 use super::mesh::{Mesh, ServerReport};
-use super::packet::{FlowKey, Header, Purpose, Trail};
+use super::packet::{Flags, FlowKey, Header, Purpose, Trail};
 use super::placement::WorkTime;
 use super::server::Server;
 use super::service_map::ServiceMap;
@@ -332,11 +332,14 @@
 
     /// The server sent a packet, or handed one back.
     pub fn on_server_packet(&mut self, now: Instant, header: &Header) -> Fate {
-        if header.flags.has(super::packet::Flags::BOUNCED) {
+        if header.flags.has(Flags::BOUNCED) {
             return self.on_bounced(now, header);
         }
         self.server.on_packet();
         let key = header.server_flow();
+        if header.flags.has(Flags::RST) && self.is_searched_for(key) {
+            return self.on_foreign_reset(now, key);
+        }
         if !self.flows.contains_key(&key) {
             let trail = Trail::from_balancer(Ipv4Addr::UNSPECIFIED, Purpose::Placed);
             let life = self.server.life();
@@ -358,7 +361,7 @@
             self.tell_keepers(key);
             self.tell_balancer(key, trail);
         }
-        if header.flags.has(super::packet::Flags::SYN) {
+        if header.flags.has(Flags::SYN) {
             let until = now + REQUEST_TIMEOUT;
             self.expected.push_back((until, key));
             self.set_expected_until(key, until);
@@ -373,6 +376,21 @@
         Fate::Return
     }
 
+    fn is_searched_for(&self, key: FlowKey) -> bool {
+        let flow = self.flows.get(&key);
+        flow.is_some_and(|f| f.searched_by.is_some())
+    }
+
+    /// The server breaks off a flow that was only searched for here, and may be open elsewhere. It says by
+    /// that that it does not hold it.
+    fn on_foreign_reset(&mut self, now: Instant, key: FlowKey) -> Fate {
+        if let Some(searcher) = self.remove(key).and_then(|f| f.searched_by) {
+            self.deny(now, searcher, key);
+        }
+        self.decide(Decision::new(Step::Bounced, key, self.map.index));
+        Fate::Drop
+    }
+
     /// The first bytes of an answer: the server is done with the request.
     fn on_answer(&mut self, now: Instant, key: FlowKey) {
         let work = self.flows.get(&key).map(|f| f.work);
@@ -457,7 +475,7 @@
         if self.farewell_at.is_some_and(|at| at <= now) {
             self.farewell_at = None;
             if self.server.statement().is_none() {
-                self.end_flows(|_| true);
+                self.end_flows(now, |_| true);
             }
         }
         if self.server.take_port_check(now) {
--- a/crates/core/src/forwarded/agent/flow.rs
+++ b/crates/core/src/forwarded/agent/flow.rs
@@ -65,6 +65,12 @@
 }
 
 impl Flow {
+    /// Whether the server was only given a packet of the flow, and has not shown that it holds it: it may
+    /// be open elsewhere.
+    pub(super) const fn is_doubtful(&self) -> bool {
+        self.is_open && self.server_seq.is_none()
+    }
+
     /// A flow that may be open already, though the agent did not see it open. The caller acknowledges
     /// `ack` and sends `next` next.
     pub(super) const fn found_open(
--- a/crates/core/src/forwarded/agent/life.rs
+++ b/crates/core/src/forwarded/agent/life.rs
@@ -36,10 +36,10 @@
 
     /// Nothing listened at the server's port when it was looked at, `looked_at`; true if its life
     /// ended by that.
-    pub fn on_port_closed(&mut self, looked_at: Instant) -> bool {
+    pub fn on_port_closed(&mut self, now: Instant, looked_at: Instant) -> bool {
         let ended = self.server.on_port_closed();
         if ended {
-            self.end_flows(|f| f.answered_at.is_none_or(|at| at < looked_at));
+            self.end_flows(now, |f| f.answered_at.is_none_or(|at| at < looked_at));
         }
         ended
     }
@@ -51,7 +51,7 @@
         let unreported = self.server.report_interval().mul_f64(UNREPORTED_INTERVALS);
         let earlier = |f: &Flow| f.life < current;
         let is_recent = |f: &Flow| f.answered_at.is_some_and(|at| now < at + unreported);
-        self.end_flows(|f| earlier(f) && !is_recent(f));
+        self.end_flows(now, |f| earlier(f) && !is_recent(f));
         for flow in self.flows.values_mut().filter(|f| earlier(f)) {
             flow.life = current;
             let asked = flow.request.clone().map(Action::Deliver);
@@ -60,13 +60,17 @@
     }
 
     /// Tells the callers of flows whose server is gone, so that they can ask again at once.
-    pub(super) fn end_flows(&mut self, is_over: impl Fn(&Flow) -> bool) {
+    pub(super) fn end_flows(&mut self, now: Instant, is_over: impl Fn(&Flow) -> bool) {
         let over = self.flows.iter().filter(|(_, f)| is_over(f));
         let mut over: Vec<_> = over.map(|(flow, _)| *flow).collect();
         over.sort_unstable();
         for key in over {
-            if let Some(flow) = self.remove(key) {
-                self.break_off(key, &flow);
+            let Some(flow) = self.remove(key) else {
+                continue;
+            };
+            match flow.searched_by {
+                Some(searcher) => self.deny(now, searcher, key),
+                None => self.break_off(key, &flow),
             }
         }
     }
@@ -74,7 +78,7 @@
     pub(super) fn break_off(&mut self, key: FlowKey, flow: &Flow) {
         // A flow that is not open here may have opened at the peer that got its opening packet too.
         let may_be_elsewhere = !flow.is_open && self.redirects.contains_key(&key);
-        if may_be_elsewhere || (flow.caller_ended && flow.server_ended) {
+        if may_be_elsewhere || flow.is_doubtful() || (flow.caller_ended && flow.server_ended) {
             return;
         }
         let seq = flow.caller_ack;
--- a/crates/core/src/forwarded/agent/location.rs
+++ b/crates/core/src/forwarded/agent/location.rs
@@ -137,7 +137,8 @@
 
     /// Whether the agent has seen every flow that can be open at its server.
     fn knows_all_flows(&self, now: Instant) -> bool {
-        self.server.is_seen_whole() || now >= self.started_at + self.max_flow_age
+        let is_gone = self.server.is_gone() && self.farewell_at.is_none();
+        self.server.is_seen_whole() || is_gone || now >= self.started_at + self.max_flow_age
     }
 
     /// Tells `searcher` that the flow is not here.
--- a/crates/core/src/forwarded/server.rs
+++ b/crates/core/src/forwarded/server.rs
@@ -270,6 +270,11 @@
         current.is_none_or(|c| c.begun == Begun::Before && !c.is_over)
     }
 
+    /// Whether the server's life is over, and no other has begun.
+    pub fn is_gone(&self) -> bool {
+        self.current.as_ref().is_some_and(|c| c.is_over)
+    }
+
     /// Whether every flow that the server may hold passed by the agent.
     pub fn is_seen_whole(&self) -> bool {
         let current = self.current.as_ref();
--- a/crates/core/tests/testsuite/forwarded/faults.rs
+++ b/crates/core/tests/testsuite/forwarded/faults.rs
@@ -280,6 +280,56 @@
     assert!(world.breaches.is_empty(), "{:?}", world.breaches);
 }
 
+/// A search reaches every server; one that breaks off what it does not hold must not reach the caller.
+#[rstest]
+fn a_server_that_resets_foreign_flows_harms_nobody(#[values(1, 2, 3)] seed: u64) {
+    let mut world = World::new(seed, 7, 3, 2);
+    open_calls(&mut world, 14);
+    for n in 0..10 {
+        world.at(Duration::ZERO, Change::ResetUnknown(n));
+        world.at(Duration::ZERO, Change::KillAgent(n));
+        world.at(100 * MS, Change::StartAgent(n));
+    }
+    world.at(Duration::ZERO, Change::RemoveBalancer(0));
+    world.at(Duration::ZERO, Change::RemoveBalancer(1));
+    world.at(100 * MS, Change::AddBalancer);
+    world.run_for(Duration::from_secs(5));
+    all_answered(&world);
+    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+}
+
+/// Restarted agents leave a packet that is searched for to their servers. When such a server then ends, the
+/// flow is none of those that ended with it. Those that were its own are told.
+#[rstest]
+fn a_server_that_ends_during_a_search_takes_no_foreign_flow_with_it(
+    #[values(1, 2, 3)] seed: u64,
+    #[values(0, 1, 8)] ends: usize,
+) {
+    let mut world = World::new(seed, 7, 3, 2);
+    world.limit = Duration::from_secs(12);
+    let flows = (0..14).map(|_| world.call(Duration::ZERO, ORDERS_ADDRESS, 5000 * MS));
+    let flows: Vec<_> = flows.collect();
+    world.run_for(50 * MS);
+    let there = flows.iter().filter(|f| world.holder(**f) == Some(ends));
+    let there = there.count();
+    world.at(Duration::ZERO, Change::FreezeServer(ends, true));
+    for n in 0..10 {
+        world.at(Duration::ZERO, Change::KillAgent(n));
+        world.at(100 * MS, Change::StartAgent(n));
+    }
+    world.at(Duration::ZERO, Change::RemoveBalancer(0));
+    world.at(Duration::ZERO, Change::RemoveBalancer(1));
+    world.at(100 * MS, Change::AddBalancer);
+    world.at(600 * MS, Change::FreezeServer(ends, false));
+    world.at(1700 * MS, Change::FreezeServer(ends, true));
+    world.at(1800 * MS, Change::CrashServer(ends));
+    world.run_for(Duration::from_secs(13));
+    let answered = world.outcomes().get(&Some(Outcome::Answered)).copied();
+    let others = 14 - there;
+    assert!(answered >= Some(others), "{:?}", world.outcomes());
+    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+}
+
 /// Every agent is full and has passed packets on; none of them may go round between two of them.
 #[test]
 fn redirections_form_no_ring() {
--- a/crates/core/tests/testsuite/forwarded/world.rs
+++ b/crates/core/tests/testsuite/forwarded/world.rs
@@ -111,6 +111,8 @@
     RegainPower(usize),
     /// Nothing passes between the host and the other nodes.
     CutHost(usize),
+    /// The server resets flows that it does not hold, instead of handing their packets back.
+    ResetUnknown(usize),
     HealCuts,
 }
 
@@ -139,6 +141,7 @@
     pub openings: Vec<Instant>,
     pub worked: u64,
     pub longest_queue: usize,
+    resets_unknown: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -298,6 +301,7 @@
                 openings: Vec::new(),
                 worked: 0,
                 longest_queue: 0,
+                resets_unknown: false,
             });
             world.agents.push(node(agent_ip(n), start));
             world.start_agent(n);
@@ -723,7 +727,7 @@
                     if !self.servers[n].is_up
                         && let Some(core) = &mut self.agents[n].core
                     {
-                        core.on_port_closed(now);
+                        core.on_port_closed(now, now);
                     }
                 }
             }
@@ -843,6 +847,10 @@
         }
         let known = self.servers[n].flows.get(&flow).copied();
         let Some(known) = known.filter(|f| header.ack.wrapping_sub(f.seq) < 1 << 20) else {
+            if self.servers[n].resets_unknown {
+                self.answer(n, flow, Flags::RST, header.ack, 0);
+                return;
+            }
             let flags = header.flags | Flags::BOUNCED;
             let trail = Trail {
                 hops: 0,
@@ -1065,6 +1073,10 @@
         if caller.outcome.is_some() {
             return;
         }
+        if header.flags.has(Flags::RST) {
+            self.reset(flow);
+            return;
+        }
         if header.flags.has(Flags::SYN) && !caller.is_open {
             caller.is_open = true;
             caller.server_seq = header.seq;
@@ -1140,6 +1152,7 @@
                 }
             }
             Change::HealCuts => self.cut.clear(),
+            Change::ResetUnknown(n) => self.servers[n].resets_unknown = true,
             Change::CutOneWay { from, to } => {
                 let from = self.ips_in(from);
                 for from in from {
--- a/src/forwarded/agent.rs
+++ b/src/forwarded/agent.rs
@@ -230,7 +230,7 @@
                 }
             }
             Said::PortClosed { looked_at } => {
-                if self.agent.on_port_closed(looked_at) {
+                if self.agent.on_port_closed(now, looked_at) {
                     let event = Event::new("server gone").about(&self.server);
                     self.journal.event(event.with(&"its port is closed"));
                 }
