--- a/crates/core/tests/testsuite/forwarded/faults.rs
+++ b/crates/core/tests/testsuite/forwarded/faults.rs
@@ -22,6 +22,17 @@
     flows
 }
 
+/// All agents and balancers start anew; only the servers know the flows then.
+fn restart_all(world: &mut World) {
+    for n in 0..10 {
+        world.at(Duration::ZERO, Change::KillAgent(n));
+        world.at(100 * MS, Change::StartAgent(n));
+    }
+    world.at(Duration::ZERO, Change::RemoveBalancer(0));
+    world.at(Duration::ZERO, Change::RemoveBalancer(1));
+    world.at(100 * MS, Change::AddBalancer);
+}
+
 fn all_answered(world: &World) {
     let only = BTreeMap::from([(Some(Outcome::Answered), world.callers.len())]);
     assert_eq!(world.outcomes(), only);
@@ -90,18 +101,11 @@
     assert!(world.breaches.is_empty(), "{:?}", world.breaches);
 }
 
-/// Nothing but the servers knows the flows then.
 #[rstest]
 fn flows_are_found_after_all_agents_and_balancers_restarted(#[values(1, 2, 3)] seed: u64) {
     let mut world = World::new(seed, 7, 3, 2);
     open_calls(&mut world, 14);
-    for n in 0..10 {
-        world.at(Duration::ZERO, Change::KillAgent(n));
-        world.at(100 * MS, Change::StartAgent(n));
-    }
-    world.at(Duration::ZERO, Change::RemoveBalancer(0));
-    world.at(Duration::ZERO, Change::RemoveBalancer(1));
-    world.at(100 * MS, Change::AddBalancer);
+    restart_all(&mut world);
     world.run_for(Duration::from_secs(5));
     all_answered(&world);
     assert!(world.breaches.is_empty(), "{:?}", world.breaches);
@@ -287,12 +291,8 @@
     open_calls(&mut world, 14);
     for n in 0..10 {
         world.at(Duration::ZERO, Change::ResetUnknown(n));
-        world.at(Duration::ZERO, Change::KillAgent(n));
-        world.at(100 * MS, Change::StartAgent(n));
     }
-    world.at(Duration::ZERO, Change::RemoveBalancer(0));
-    world.at(Duration::ZERO, Change::RemoveBalancer(1));
-    world.at(100 * MS, Change::AddBalancer);
+    restart_all(&mut world);
     world.run_for(Duration::from_secs(5));
     all_answered(&world);
     assert!(world.breaches.is_empty(), "{:?}", world.breaches);
@@ -313,13 +313,7 @@
     let there = flows.iter().filter(|f| world.holder(**f) == Some(ends));
     let there = there.count();
     world.at(Duration::ZERO, Change::FreezeServer(ends, true));
-    for n in 0..10 {
-        world.at(Duration::ZERO, Change::KillAgent(n));
-        world.at(100 * MS, Change::StartAgent(n));
-    }
-    world.at(Duration::ZERO, Change::RemoveBalancer(0));
-    world.at(Duration::ZERO, Change::RemoveBalancer(1));
-    world.at(100 * MS, Change::AddBalancer);
+    restart_all(&mut world);
     world.at(600 * MS, Change::FreezeServer(ends, false));
     world.at(1700 * MS, Change::FreezeServer(ends, true));
     world.at(1800 * MS, Change::CrashServer(ends));
--- a/crates/wire/src/convert/forwarded.rs
+++ b/crates/wire/src/convert/forwarded.rs
@@ -178,10 +178,8 @@
     type Error = ConvertError;
 
     fn try_from(p: wire::FlowPlace) -> Result<Self, Self::Error> {
-        let flow = FlowKey {
-            caller: end("caller port", p.caller_ip, p.caller_port)?,
-            service: end("service port", p.service_ip, p.service_port)?,
-        };
+        let caller = (p.caller_ip, p.caller_port);
+        let flow = flow(caller, (p.service_ip, p.service_port))?;
         Ok(Self {
             flow,
             server_seq: p.server_seq,
@@ -206,10 +204,8 @@
     type Error = ConvertError;
 
     fn try_from(d: wire::Denial) -> Result<Self, Self::Error> {
-        let flow = FlowKey {
-            caller: end("caller port", d.caller_ip, d.caller_port)?,
-            service: end("service port", d.service_ip, d.service_port)?,
-        };
+        let caller = (d.caller_ip, d.caller_port);
+        let flow = flow(caller, (d.service_ip, d.service_port))?;
         Ok(Self {
             flow,
             agents: d.agents.into(),
@@ -218,6 +214,13 @@
     }
 }
 
+fn flow(caller: (u32, u32), service: (u32, u32)) -> Result<FlowKey, ConvertError> {
+    Ok(FlowKey {
+        caller: end("caller port", caller.0, caller.1)?,
+        service: end("service port", service.0, service.1)?,
+    })
+}
+
 fn end(field: &'static str, ip: u32, port: u32) -> Result<SocketAddrV4, ConvertError> {
     Ok(SocketAddrV4::new(
         Ipv4Addr::from_bits(ip),
