Send packets without waiting for a socket to be known as writable

Cause: a socket that has just been bound counts as writable only once the runtime has polled it, so what a node sent before that was lost with a line that the host had no room; so it was before packets were sent in batches. Found by a new test of the sockets (packets_travel_in_batches: nothing arrived before, all after). On the platform it has not shown: nodes wait for other things before their first greeting. Change: the host is asked directly and says itself if there is no room.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -164,7 +164,7 @@
         // A child that was not waited for keeps its id.
         if let (Ok(None), Ok(id)) = (child.try_wait(), i32::try_from(child.id())) {
             // It fails only for a process that ended just now.
-            if kill(Pid::from_raw(id), signal).is_err() {}
+            _ = kill(Pid::from_raw(id), signal);
         }
     }
 
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -248,7 +248,7 @@
             tokio::spawn(async move {
                 sleep(WORK).await;
                 // It fails only once the server has ended.
-                if done.send((key, request)).is_err() {}
+                _ = done.send((key, request));
             });
         } else if let Some(answer) = flow.answer.clone() {
             self.send(&answer).await;
--- a/src/forwarded/packets.rs
+++ b/src/forwarded/packets.rs
@@ -8,6 +8,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::os::fd::AsRawFd;
 
+use nix::errno::Errno;
 use nix::sys::socket::{ControlMessage, MsgFlags, MultiHeaders, SockaddrIn, recvmmsg, sendmmsg};
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::io::Interest;
@@ -174,13 +175,12 @@
     pub fn flush(&mut self) {
         let mut next = 0;
         while next < self.outbox.ends.len() {
-            let sent = self.socket.try_io(Interest::WRITABLE, || {
-                self.calls.send.inc();
-                Ok(self.outbox.send(&self.socket, next)?)
-            });
-            next += match sent {
+            self.calls.send.inc();
+            // The host itself says whether there is room: a socket that was just bound is not yet known to
+            // be writable.
+            next += match self.outbox.send(&self.socket, next) {
                 Ok(sent) => sent,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                Err(Errno::EAGAIN) => {
                     let left = self.outbox.ends.len() - next;
                     log::warn!("{left} packets were not sent: the host has no room for them");
                     left
--- a/tests/testsuite/forwarded.rs
+++ b/tests/testsuite/forwarded.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use dogwoodrill::forwarded::metrics::SocketCalls;
+use dogwoodrill::forwarded::packets::{BATCH, Inbox, PacketSocket};
+use prometheus::Registry;
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
 
@@ -127,3 +130,34 @@
     balancer.stop().await;
     agent.stop().await;
 }
+
+/// A batch and a rest: all arrive in order, unchanged, each batch by one call at either end.
+#[tokio::test]
+async fn packets_travel_in_batches() {
+    let ports = ports();
+    let [from, to] = [1, 2].map(|host| SocketAddrV4::new(ip(6, host), ports.packets));
+    let calls = [(); 2].map(|()| SocketCalls::register(&Registry::new()));
+    let mut sender = PacketSocket::bind(from, calls[0].clone()).unwrap();
+    let socket = PacketSocket::bind(to, calls[1].clone()).unwrap();
+    let sent: Vec<_> = (0..=u8::try_from(BATCH).unwrap())
+        .map(|n| vec![n; usize::from(n) * 40])
+        .collect();
+    for packet in &sent {
+        sender.send(to, packet);
+    }
+    sender.flush();
+    let (mut inbox, mut taken) = (Inbox::default(), Vec::new());
+    while taken.len() < sent.len() {
+        timeout(HANG_GUARD, socket.readable())
+            .await
+            .unwrap()
+            .unwrap();
+        socket.receive(&mut inbox);
+        for (ip, packet) in inbox.packets() {
+            assert_eq!(ip, *from.ip());
+            taken.push(packet.to_vec());
+        }
+    }
+    assert_eq!(taken, sent);
+    assert_eq!((calls[0].send.get(), calls[1].receive.get()), (2, 2));
+}
