Share what balancer and agent drivers do alike

No behaviour changes. Found by reading the change as a whole:

- The two drivers each took in datagrams, took over a fetched configuration and wrote down decisions by the same lines; src/forwarded/link.rs has them once.
- The counter of packets was looked up by its label for every packet; now once a turn.
- The set of known agents was hashed anew for each denial of a datagram; now once, and only if there is one.
- Whether a request is overdue was written twice in the agent (Work::is_overdue).
- The loopback tests searched free ports with a check for TCP that looked at another port; they use the soak's search, which tries the same port for both.
- Greetings of the simulated fleet, and the configuration of the bench and of flow_entries, were written out more than once.

--- a/crates/core/benches/forwarded.rs
+++ b/crates/core/benches/forwarded.rs
@@ -2,7 +2,6 @@
 
 use std::hint::black_box;
 use std::net::{Ipv4Addr, SocketAddrV4};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use criterion::{BatchSize, BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
@@ -11,39 +10,17 @@
 use dogwoodrill_core::forwarded::mesh::{Boot, Greeting, Mesh, NodeAddress, ServerReport};
 use dogwoodrill_core::forwarded::node::NodeRole;
 use dogwoodrill_core::forwarded::packet::{Flags, Header, Purpose, Trail};
-use dogwoodrill_core::forwarded::service_map::{
-    RequestTerms, Route, RouteTable, ServiceMap, ServiceTerms, Target, Weight,
-};
 use dogwoodrill_core::ids::LogIndex;
 
+#[path = "fixtures/one_service.rs"]
+mod one_service;
+
+use one_service::{SERVICE, map};
+
 /// Agents of one service: of today, of the grown deployments, and ten times that.
 const SIZES: [u16; 3] = [7, 42, 420];
 /// Flows that are new to a balancer in one measurement.
 const FLOWS: u32 = 1_000;
-const SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
-
-fn map() -> ServiceMap {
-    let route = Route {
-        targets: vec![Target {
-            service: "orders".into(),
-            weight: Weight::new(1),
-        }],
-        terms: RequestTerms {
-            target: Duration::from_millis(100),
-            timeout: Duration::from_millis(1500),
-            priority: 1,
-        },
-    };
-    ServiceMap {
-        index: LogIndex::new(1),
-        table: Some(Arc::new(RouteTable {
-            routes: [(SERVICE, route)].into(),
-            services: [("orders".into(), ServiceTerms::default())].into(),
-            ..RouteTable::default()
-        })),
-        ..ServiceMap::default()
-    }
-}
 
 fn agent(n: u16) -> Ipv4Addr {
     let [high, low] = n.to_be_bytes();
@@ -76,7 +53,7 @@
         mesh.on_greeting(now, agent(n), greeting);
     }
     let mut balancer = Balancer::new(now, mesh, "north".parse().expect("a name"), 1);
-    balancer.on_map(Arc::new(map()));
+    balancer.on_map(map());
     balancer
 }
 
--- a/crates/core/examples/flow_entries.rs
+++ b/crates/core/examples/flow_entries.rs
@@ -7,10 +7,12 @@
 //! Tables double when they are full, so an entry costs most just after that: the sizes are near the end
 //! of a table and just beyond it.
 
+#[path = "../benches/fixtures/one_service.rs"]
+mod one_service;
+
 use std::error::Error;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::process::Command;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use dogwoodrill_core::forwarded::agent::Agent;
@@ -20,16 +22,13 @@
 use dogwoodrill_core::forwarded::node::NodeRole;
 use dogwoodrill_core::forwarded::packet::{Flags, FlowKey, Header, Purpose, Trail};
 use dogwoodrill_core::forwarded::server::{ServerState, ServerStatement};
-use dogwoodrill_core::forwarded::service_map::{
-    RequestTerms, Route, RouteTable, ServiceMap, ServiceTerms, Target, Weight,
-};
-use dogwoodrill_core::ids::{LogIndex, Sequence};
+use dogwoodrill_core::ids::Sequence;
 use dogwoodrill_core::time::UnixMillis;
+use one_service::{SERVICE, map};
 
 const KINDS: [&str; 3] = ["agent", "keeper", "balancer"];
 const SIZES: [u32; 2] = [110_000, 120_000];
 const PAGE_BYTES: u64 = 4_096;
-const SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
 const MAX_AGE: Duration = Duration::from_mins(1);
 
 type Failure = Box<dyn Error + Send + Sync>;
@@ -92,29 +91,6 @@
     Mesh::new(NodeAddress { ip, role })
 }
 
-fn map() -> Arc<ServiceMap> {
-    let route = Route {
-        targets: vec![Target {
-            service: "orders".into(),
-            weight: Weight::new(1),
-        }],
-        terms: RequestTerms {
-            target: Duration::from_millis(100),
-            timeout: Duration::from_millis(1500),
-            priority: 1,
-        },
-    };
-    Arc::new(ServiceMap {
-        index: LogIndex::new(1),
-        table: Some(Arc::new(RouteTable {
-            routes: [(SERVICE, route)].into(),
-            services: [("orders".into(), ServiceTerms::default())].into(),
-            ..RouteTable::default()
-        })),
-        ..ServiceMap::default()
-    })
-}
-
 fn fill_balancer(flows: u32) -> Balancer {
     let now = Instant::now();
     let zone = "north".parse().expect("a name");
--- a/crates/core/src/forwarded/agent.rs
+++ b/crates/core/src/forwarded/agent.rs
@@ -493,11 +493,7 @@
         {
             self.expected.pop_front();
             let flow = self.flows.get(&key);
-            let over = flow.is_some_and(|f| match f.work {
-                Work::Expected { until } | Work::Running { until, .. } => until <= now,
-                Work::Idle => false,
-            });
-            if over {
+            if flow.is_some_and(|f| f.work.is_overdue(now)) {
                 self.set_work(key, Work::Idle);
             }
         }
@@ -512,10 +508,8 @@
         for key in over.map(|(key, _)| *key).collect::<Vec<_>>() {
             self.remove(key);
         }
-        let stuck = self.flows.iter().filter(|(_, f)| match f.work {
-            Work::Running { until, .. } | Work::Expected { until } => until <= now,
-            Work::Idle => false,
-        });
+        let stuck = self.flows.iter();
+        let stuck = stuck.filter(|(_, f)| f.work.is_overdue(now));
         for key in stuck.map(|(key, _)| *key).collect::<Vec<_>>() {
             self.set_work(key, Work::Idle);
         }
--- a/crates/core/src/forwarded/agent/flow.rs
+++ b/crates/core/src/forwarded/agent/flow.rs
@@ -38,6 +38,14 @@
     pub(super) const fn counts(self) -> bool {
         !matches!(self, Self::Idle)
     }
+
+    /// Whether it should have come to an end by now.
+    pub(super) fn is_overdue(self, now: Instant) -> bool {
+        match self {
+            Self::Expected { until } | Self::Running { until, .. } => until <= now,
+            Self::Idle => false,
+        }
+    }
 }
 
 #[derive(Debug)]
--- a/crates/core/src/forwarded/agent/location.rs
+++ b/crates/core/src/forwarded/agent/location.rs
@@ -167,11 +167,13 @@
         from: Ipv4Addr,
         denials: impl IntoIterator<Item = Denial>,
     ) {
+        let mut denials = denials.into_iter().peekable();
+        if denials.peek().is_none() {
+            return;
+        }
         let own = self.mesh.own().ip;
-        for denial in denials {
-            if self.mesh.agent_set(now) != Some(denial.agents) {
-                continue;
-            }
+        let known = self.mesh.agent_set(now);
+        for denial in denials.filter(|d| Some(d.agents) == known) {
             let others = self.mesh.agents().map(|(ip, _)| ip);
             let agents = others.chain([own]);
             let Some(seq) = self.inquiries.on_denial(from, denial, agents) else {
--- a/crates/core/tests/testsuite/forwarded/world.rs
+++ b/crates/core/tests/testsuite/forwarded/world.rs
@@ -17,7 +17,7 @@
 use dogwoodrill_core::forwarded::decision::{Decision, Reason, Step};
 use dogwoodrill_core::forwarded::inquiry::Denial;
 use dogwoodrill_core::forwarded::keepers::FlowPlace;
-use dogwoodrill_core::forwarded::mesh::{Boot, Greeting, Mesh, NodeAddress};
+use dogwoodrill_core::forwarded::mesh::{Boot, Greeting, Mesh, NodeAddress, ServerReport};
 use dogwoodrill_core::forwarded::node::NodeRole;
 use dogwoodrill_core::forwarded::packet::{Flags, FlowKey, Header, Purpose, Trail};
 use dogwoodrill_core::forwarded::server::{ServerState, ServerStatement};
@@ -569,20 +569,7 @@
         };
         core.on_tick(now);
         let decisions = core.take_decisions();
-        let due = core.mesh_mut().due(now);
-        let greetings: Vec<_> = due
-            .into_iter()
-            .map(|to| {
-                let greeting = Greeting {
-                    boot: node.boot,
-                    role: NodeRole::Balancer,
-                    index: LogIndex::new(1),
-                    heard: core.mesh().heard_age(now, to.ip),
-                    report: None,
-                };
-                (to.ip, greeting)
-            })
-            .collect();
+        let greetings = due_greetings(core.mesh_mut(), now, node.boot, None);
         let from = node.ip;
         for (to, greeting) in greetings {
             self.greet(from, to, greeting, Vec::new());
@@ -643,20 +630,7 @@
             return;
         };
         let report = core.report(now);
-        let due = core.mesh_mut().due(now);
-        let greetings: Vec<_> = due
-            .into_iter()
-            .map(|to| {
-                let greeting = Greeting {
-                    boot: node.boot,
-                    role: NodeRole::Agent,
-                    index: LogIndex::new(1),
-                    heard: core.mesh().heard_age(now, to.ip),
-                    report: report.clone(),
-                };
-                (to.ip, greeting)
-            })
-            .collect();
+        let greetings = due_greetings(core.mesh_mut(), now, node.boot, report.as_ref());
         let from = node.ip;
         for (to, greeting) in greetings {
             self.greet(from, to, greeting, Vec::new());
@@ -690,13 +664,7 @@
         let report = core.report(now);
         let boot = self.agents[n].boot;
         self.count(decisions);
-        let greeting = |heard| Greeting {
-            boot,
-            role: NodeRole::Agent,
-            index: LogIndex::new(1),
-            heard,
-            report: report.clone(),
-        };
+        let greeting = |heard| greeting(boot, NodeRole::Agent, heard, report.as_ref());
         for action in actions {
             match action {
                 Action::Forward { to, trail, packet } => {
@@ -1197,3 +1165,33 @@
         report_from: now,
     }
 }
+
+fn greeting(
+    boot: Boot,
+    role: NodeRole,
+    heard: Option<Duration>,
+    report: Option<&ServerReport>,
+) -> Greeting {
+    Greeting {
+        boot,
+        role,
+        index: LogIndex::new(1),
+        heard,
+        report: report.cloned(),
+    }
+}
+
+/// What a node says to those that are due a greeting.
+fn due_greetings(
+    mesh: &mut Mesh,
+    now: Instant,
+    boot: Boot,
+    report: Option<&ServerReport>,
+) -> Vec<(Ipv4Addr, Greeting)> {
+    let (role, due) = (mesh.own().role, mesh.due(now));
+    let greetings = due.into_iter().map(|to| {
+        let heard = mesh.heard_age(now, to.ip);
+        (to.ip, greeting(boot, role, heard, report))
+    });
+    greetings.collect()
+}
--- a/crates/soak/src/network.rs
+++ b/crates/soak/src/network.rs
@@ -53,8 +53,8 @@
     pub server: u16,
 }
 
-/// A port that is free for both protocols.
-fn free_port() -> io::Result<u16> {
+/// A port that is free on all addresses, for both protocols.
+pub fn free_port() -> io::Result<u16> {
     let mut last = Err(io::ErrorKind::AddrInUse.into());
     for _ in 0..PORT_TRIES {
         last = try_port();
--- a/src/forwarded.rs
+++ b/src/forwarded.rs
@@ -16,6 +16,7 @@
 pub mod datagrams;
 pub mod fetch;
 pub mod journal;
+mod link;
 pub mod metrics;
 pub mod packets;
 
--- a/src/forwarded/agent.rs
+++ b/src/forwarded/agent.rs
@@ -9,7 +9,7 @@
 use dogwoodrill_core::forwarded::agent::{Action, Agent, Fate};
 use dogwoodrill_core::forwarded::keepers::FlowPlace;
 use dogwoodrill_core::forwarded::mesh::{Greeting, Mesh, NodeAddress, ServerReport};
-use dogwoodrill_core::forwarded::node::{AgentSockets, NodeRole, NodeSettings};
+use dogwoodrill_core::forwarded::node::{AgentSockets, NodeSettings};
 use dogwoodrill_core::forwarded::packet::Header;
 use dogwoodrill_core::forwarded::server::{ServerStatement, StatementOutcome};
 use dogwoodrill_wire::convert::forwarded::Datagram;
@@ -19,10 +19,10 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Format;
-use super::datagrams::Datagrams;
-use super::fetch::{Fetched, Fetcher};
+use super::fetch::Fetched;
 use super::journal::{Event, Journal};
-use super::metrics::{ForwardMetrics, SocketCalls};
+use super::link::Link;
+use super::metrics::SocketCalls;
 use super::packets::{Inbox, PacketSocket};
 use crate::context::Cx;
 
@@ -83,8 +83,7 @@
     outbound: PacketSocket,
     port: u16,
     server: SocketAddrV4,
-    datagrams: Datagrams,
-    fetcher: Fetcher,
+    link: Link,
     agent: Agent,
     /// Flows that keepers are told of at the next tick.
     to_keepers: BTreeMap<Ipv4Addr, Vec<FlowPlace>>,
@@ -92,8 +91,6 @@
     report_from: Instant,
     said: mpsc::Receiver<Said>,
     handle: ServerHandle,
-    journal: Journal,
-    metrics: ForwardMetrics,
     ready: watch::Sender<bool>,
     stop_at: Option<Instant>,
 }
@@ -109,8 +106,8 @@
     ) -> io::Result<Self> {
         let now = Instant::now();
         let calls = SocketCalls::register(&cx.metrics);
-        let datagrams = Datagrams::bind(settings, calls.clone())?;
-        let mesh = Mesh::new(datagrams.own());
+        let link = Link::bind(cx, settings, calls.clone(), journal)?;
+        let mesh = Mesh::new(link.datagrams.own());
         let (tx, said) = mpsc::channel(STATEMENTS);
         let (interval, max_age) = (settings.report_interval, settings.max_flow_age);
         Ok(Self {
@@ -119,8 +116,7 @@
             outbound: PacketSocket::bind(sockets.outbound, calls)?,
             port: sockets.packets.port(),
             server: sockets.server,
-            datagrams,
-            fetcher: Fetcher::new(cx.clone(), settings.inner_port),
+            link,
             agent: Agent::new(now, mesh, interval, max_age, rand::random()),
             to_keepers: BTreeMap::new(),
             last_report: None,
@@ -130,8 +126,6 @@
                 tx,
                 server: sockets.server,
             },
-            journal,
-            metrics: ForwardMetrics::register(&cx.metrics),
             ready: watch::Sender::new(false),
             stop_at: None,
         })
@@ -167,7 +161,7 @@
                 }
                 () = token.cancelled(), if self.stop_at.is_none() => self.stop(),
                 Some(said) = self.said.recv() => self.on_said(said),
-                readable = self.datagrams.readable() => {
+                readable = self.link.datagrams.readable() => {
                     readable?;
                     self.take_datagrams(&mut inbox);
                 }
@@ -179,10 +173,10 @@
                     readable?;
                     self.take_caller_packets(&mut inbox);
                 }
-                Some(fetched) = self.fetcher.next() => self.on_fetched(fetched),
+                Some(fetched) = self.link.fetcher.next() => self.on_fetched(fetched),
                 Ok(()) = seeds.changed() => self.learn(&seeds.borrow_and_update().clone()),
             }
-            self.datagrams.flush();
+            self.link.datagrams.flush();
             self.outbound.flush();
             self.packets.flush();
         }
@@ -197,7 +191,8 @@
         self.stop_at = Some(Instant::now() + LINGER);
         self.agent.stop();
         self.ready.send_replace(false);
-        self.journal
+        self.link
+            .journal
             .event(Event::new("stopping").with(&"no new flows"));
     }
 
@@ -212,27 +207,30 @@
                     StatementOutcome::NewLife | StatementOutcome::Changed
                 ) {
                     let event = Event::new("server reported").about(&subject).with(&outcome);
-                    self.journal.event(event);
+                    self.link.journal.event(event);
                 }
                 if reply.send(outcome).is_err() {
                     let event = Event::new("report not answered");
-                    self.journal.event(event.with(&"the server hung up"));
+                    self.link.journal.event(event.with(&"the server hung up"));
                 }
             }
             Said::Leave(id, reply) => {
                 let left = self.agent.on_leave(now, &id);
                 let event = Event::new("server leaves").about(&id);
-                self.journal
-                    .event(event.with(&if left { "gone" } else { "not the current one" }));
+                self.link.journal.event(event.with(&if left {
+                    "gone"
+                } else {
+                    "not the current one"
+                }));
                 if reply.send(left).is_err() {
                     let event = Event::new("farewell not answered");
-                    self.journal.event(event.with(&"the server hung up"));
+                    self.link.journal.event(event.with(&"the server hung up"));
                 }
             }
             Said::PortClosed { looked_at } => {
                 if self.agent.on_port_closed(now, looked_at) {
                     let event = Event::new("server gone").about(&self.server);
-                    self.journal.event(event.with(&"its port is closed"));
+                    self.link.journal.event(event.with(&"its port is closed"));
                 }
             }
         }
@@ -248,19 +246,15 @@
         self.tell_of_change(now);
         let report = self.agent.report(now);
         let index = self.agent.map().index;
-        self.datagrams
+        self.link
+            .datagrams
             .greet(now, self.agent.mesh_mut(), index, report.as_ref());
         self.tell_keepers(index.get());
         let ready = self.agent.map().table.is_some() && self.stop_at.is_none();
         self.ready
             .send_if_modified(|was| std::mem::replace(was, ready) != ready);
-        self.metrics
-            .flows
-            .set(i64::try_from(self.agent.flows()).unwrap_or(i64::MAX));
         let decisions = self.agent.take_decisions();
-        self.metrics.on_decisions(&decisions);
-        self.journal.decisions(decisions);
-        self.journal.flush();
+        self.link.record(decisions, self.agent.flows());
         self.stop_at.is_some_and(|at| at <= now)
     }
 
@@ -280,7 +274,9 @@
             let closed = self.agent.server().closed(now);
             let why = closed.map_or_else(String::new, |c| c.to_string());
             let event = Event::new(event).about(&self.server).with(&why);
-            self.journal.event(event.at(self.agent.map().index.get()));
+            self.link
+                .journal
+                .event(event.at(self.agent.map().index.get()));
         }
         self.last_report = report;
         let nodes = u32::try_from(self.agent.mesh().nodes().count()).unwrap_or(u32::MAX);
@@ -292,14 +288,15 @@
         let to_keepers = std::mem::take(&mut self.to_keepers);
         for (to, places) in to_keepers {
             let greeting = self.greeting_to(to, index);
-            self.datagrams.tell_places(to, &greeting, &places);
+            self.link.datagrams.tell_places(to, &greeting, &places);
         }
     }
 
     fn greeting_to(&self, to: Ipv4Addr, index: u64) -> Greeting {
         let now = Instant::now();
         let heard = self.agent.mesh().heard_age(now, to);
-        self.datagrams
+        self.link
+            .datagrams
             .greeting(heard, index.into(), self.agent.report(now))
     }
 
@@ -320,7 +317,7 @@
                 }
                 Action::TellBalancer { to, place } => {
                     let greeting = self.greeting_to(to, self.agent.map().index.get());
-                    self.datagrams.tell_places(to, &greeting, &[place]);
+                    self.link.datagrams.tell_places(to, &greeting, &[place]);
                 }
                 Action::TellKeeper { to, place } => {
                     self.to_keepers.entry(to).or_default().push(place);
@@ -331,7 +328,7 @@
                         denials: vec![denial],
                         ..Datagram::from(greeting)
                     };
-                    self.datagrams.send(to, &datagram);
+                    self.link.datagrams.send(to, &datagram);
                 }
                 Action::CheckPort => {
                     let (server, tx) = (self.server, self.handle.tx.clone());
@@ -353,41 +350,28 @@
     }
 
     fn take_datagrams(&mut self, inbox: &mut Inbox) {
-        for (from, datagram) in self.datagrams.receive(inbox) {
+        for (from, datagram) in self.link.datagrams.receive(inbox) {
             let now = Instant::now();
-            let (role, theirs) = (datagram.greeting.role, datagram.greeting.index);
+            let own = self.agent.map().index;
             let mesh = self.agent.mesh_mut();
-            let news = mesh.on_greeting(now, from, datagram.greeting);
-            mesh.learn_all(now, datagram.nodes);
-            self.journal.node(NodeAddress { ip: from, role }, news);
-            if role == NodeRole::Control {
-                let own = self.agent.map().index;
-                self.fetcher.on_index(from, theirs, own);
-            }
-            self.agent.on_places(now, from, datagram.places);
-            self.agent.on_denials(now, from, datagram.denials);
+            let news = self.link.on_datagram(now, from, datagram, mesh, own);
+            self.agent.on_places(now, from, news.places);
+            self.agent.on_denials(now, from, news.denials);
         }
         self.act();
     }
 
     fn on_fetched(&mut self, fetched: Fetched) {
-        let from = fetched.from;
-        if let Some(map) = fetched.into_map(&mut self.journal)
-            && self.agent.on_map(Arc::clone(&map))
-        {
-            let index = map.index.get();
-            self.metrics.config_index.set(index.cast_signed());
-            let event = Event::new("configuration in force").about(&from);
-            self.journal.event(event.at(index));
-        }
+        self.link.on_fetched(fetched, |map| self.agent.on_map(map));
         self.tell_of_change(Instant::now());
     }
 
     fn take_caller_packets(&mut self, inbox: &mut Inbox) {
         let began_at = Instant::now();
         self.packets.receive(inbox);
+        let taken = self.link.metrics.packets.with_label_values(&["node"]);
         for (from, packet) in inbox.packets() {
-            self.metrics.packets.with_label_values(&["node"]).inc();
+            taken.inc();
             match self.format.read(packet) {
                 Ok(header) => {
                     let fate = self
@@ -395,28 +379,29 @@
                         .on_caller_packet(Instant::now(), from, &header, packet);
                     self.carry_out(fate, &header, packet);
                 }
-                Err(_) => self.metrics.bad_packets.inc(),
+                Err(_) => self.link.metrics.bad_packets.inc(),
             }
         }
         self.act();
-        self.metrics.on_turn(began_at.elapsed());
+        self.link.metrics.on_turn(began_at.elapsed());
     }
 
     fn take_server_packets(&mut self, inbox: &mut Inbox) {
         let began_at = Instant::now();
         self.outbound.receive(inbox);
+        let taken = self.link.metrics.packets.with_label_values(&["server"]);
         for (_, packet) in inbox.packets() {
-            self.metrics.packets.with_label_values(&["server"]).inc();
+            taken.inc();
             match self.format.read(packet) {
                 Ok(header) => {
                     let fate = self.agent.on_server_packet(Instant::now(), &header);
                     self.carry_out(fate, &header, packet);
                 }
-                Err(_) => self.metrics.bad_packets.inc(),
+                Err(_) => self.link.metrics.bad_packets.inc(),
             }
         }
         self.act();
-        self.metrics.on_turn(began_at.elapsed());
+        self.link.metrics.on_turn(began_at.elapsed());
     }
 
     fn carry_out(&mut self, fate: Fate, header: &Header, packet: &mut [u8]) {
--- a/src/forwarded/balancer.rs
+++ b/src/forwarded/balancer.rs
@@ -6,17 +6,17 @@
 
 use dogwoodrill_core::forwarded::balancer::{Balancer, Fate};
 use dogwoodrill_core::forwarded::mesh::{Mesh, NodeAddress};
-use dogwoodrill_core::forwarded::node::{BalancerSockets, NodeRole, NodeSettings};
+use dogwoodrill_core::forwarded::node::{BalancerSockets, NodeSettings};
 use dogwoodrill_core::forwarded::packet::Header;
 use tokio::sync::watch;
 use tokio::time::sleep_until;
 use tokio_util::sync::CancellationToken;
 
 use super::Format;
-use super::datagrams::Datagrams;
-use super::fetch::{Fetched, Fetcher};
+use super::fetch::Fetched;
 use super::journal::{Event, Journal};
-use super::metrics::{ForwardMetrics, SocketCalls};
+use super::link::Link;
+use super::metrics::SocketCalls;
 use super::packets::{Inbox, PacketSocket};
 use crate::context::Cx;
 
@@ -35,11 +35,8 @@
     format: F,
     packets: PacketSocket,
     port: u16,
-    datagrams: Datagrams,
-    fetcher: Fetcher,
+    link: Link,
     balancer: Balancer,
-    journal: Journal,
-    metrics: ForwardMetrics,
     ready: watch::Sender<bool>,
     ready_from: Instant,
     linger: Duration,
@@ -57,17 +54,14 @@
     ) -> std::io::Result<Self> {
         let now = Instant::now();
         let calls = SocketCalls::register(&cx.metrics);
-        let datagrams = Datagrams::bind(settings, calls.clone())?;
-        let mesh = Mesh::new(datagrams.own());
+        let link = Link::bind(cx, settings, calls.clone(), journal)?;
+        let mesh = Mesh::new(link.datagrams.own());
         Ok(Self {
             format,
             packets: PacketSocket::bind(sockets.packets, calls)?,
             port: sockets.packets.port(),
-            datagrams,
-            fetcher: Fetcher::new(cx.clone(), settings.inner_port),
+            link,
             balancer: Balancer::new(now, mesh, settings.zone.clone(), rand::random()),
-            journal,
-            metrics: ForwardMetrics::register(&cx.metrics),
             ready: watch::Sender::new(false),
             ready_from: now + SETTLE,
             linger: LINGER.min(settings.stop_grace / 2),
@@ -99,7 +93,7 @@
                     }
                 }
                 () = token.cancelled(), if self.stop_at.is_none() => self.stop(),
-                readable = self.datagrams.readable() => {
+                readable = self.link.datagrams.readable() => {
                     readable?;
                     self.take_datagrams(&mut inbox);
                 }
@@ -107,10 +101,10 @@
                     readable?;
                     self.take_packets(&mut inbox);
                 }
-                Some(fetched) = self.fetcher.next() => self.on_fetched(fetched),
+                Some(fetched) = self.link.fetcher.next() => self.on_fetched(fetched),
                 Ok(()) = seeds.changed() => self.learn(&seeds.borrow_and_update().clone()),
             }
-            self.datagrams.flush();
+            self.link.datagrams.flush();
             self.packets.flush();
         }
     }
@@ -124,7 +118,7 @@
         self.stop_at = Some(Instant::now() + self.linger);
         self.ready.send_replace(false);
         let event = Event::new("stopping").with(&"not ready, packets go on to be forwarded");
-        self.journal.event(event);
+        self.link.journal.event(event);
     }
 
     /// True when it is time to end.
@@ -132,7 +126,8 @@
         let now = Instant::now();
         self.balancer.on_tick(now);
         let index = self.balancer.map().index;
-        self.datagrams
+        self.link
+            .datagrams
             .greet(now, self.balancer.mesh_mut(), index, None);
         let settled = now >= self.ready_from || self.balancer.has_heard_all();
         let ready = self.balancer.is_ready(now) && settled && self.stop_at.is_none();
@@ -141,75 +136,57 @@
             .send_if_modified(|was| std::mem::replace(was, ready) != ready)
         {
             let event = if ready { "ready" } else { "not ready" };
-            self.journal.event(Event::new(event).at(index.get()));
+            self.link.journal.event(Event::new(event).at(index.get()));
         }
-        let flows = i64::try_from(self.balancer.cached()).unwrap_or(i64::MAX);
-        self.metrics.flows.set(flows);
-        self.record();
-        self.journal.flush();
-        self.stop_at.is_some_and(|at| at <= now)
-    }
-
-    fn record(&mut self) {
         let decisions = self.balancer.take_decisions();
-        self.metrics.on_decisions(&decisions);
-        self.journal.decisions(decisions);
+        self.link.record(decisions, self.balancer.cached());
+        self.stop_at.is_some_and(|at| at <= now)
     }
 
     fn take_datagrams(&mut self, inbox: &mut Inbox) {
-        for (from, datagram) in self.datagrams.receive(inbox) {
+        for (from, datagram) in self.link.datagrams.receive(inbox) {
             let now = Instant::now();
-            let (role, theirs) = (datagram.greeting.role, datagram.greeting.index);
+            let own = self.balancer.map().index;
             let mesh = self.balancer.mesh_mut();
-            let news = mesh.on_greeting(now, from, datagram.greeting);
-            mesh.learn_all(now, datagram.nodes);
-            self.journal.node(NodeAddress { ip: from, role }, news);
-            if role == NodeRole::Control {
-                let own = self.balancer.map().index;
-                self.fetcher.on_index(from, theirs, own);
-            }
-            self.balancer.on_places(from, datagram.places);
+            let news = self.link.on_datagram(now, from, datagram, mesh, own);
+            self.balancer.on_places(from, news.places);
         }
     }
 
     fn on_fetched(&mut self, fetched: Fetched) {
-        let from = fetched.from;
-        if let Some(map) = fetched.into_map(&mut self.journal)
-            && self.balancer.on_map(Arc::clone(&map))
-        {
-            let index = map.index.get();
-            self.metrics.config_index.set(index.cast_signed());
-            let event = Event::new("configuration in force").about(&from);
-            self.journal.event(event.at(index));
-        }
+        self.link
+            .on_fetched(fetched, |map| self.balancer.on_map(map));
     }
 
     fn take_packets(&mut self, inbox: &mut Inbox) {
         let began_at = Instant::now();
         self.packets.receive(inbox);
+        let taken = self.link.metrics.packets.with_label_values(&["caller"]);
         for (_, packet) in inbox.packets() {
             match self.format.read(packet) {
-                Ok(header) => on_packet(self, &header, packet),
-                Err(_) => self.metrics.bad_packets.inc(),
+                Ok(header) => {
+                    taken.inc();
+                    self.on_packet(&header, packet);
+                }
+                Err(_) => self.link.metrics.bad_packets.inc(),
             }
         }
-        self.metrics.on_turn(began_at.elapsed());
+        self.link.metrics.on_turn(began_at.elapsed());
     }
-}
 
-fn on_packet<F: Format>(node: &mut BalancerNode<F>, header: &Header, packet: &mut [u8]) {
-    node.metrics.packets.with_label_values(&["caller"]).inc();
-    match node.balancer.on_packet(Instant::now(), header) {
-        Fate::Forward { to, trail } => {
-            node.format.set_trail(packet, trail);
-            node.packets.send(SocketAddrV4::new(to, node.port), packet);
-        }
-        Fate::Reset => {
-            let flow = header.caller_flow();
-            let reset = node.format.reset(flow, 0);
-            let caller = SocketAddrV4::new(*flow.caller.ip(), node.port);
-            node.packets.send(caller, &reset);
+    fn on_packet(&mut self, header: &Header, packet: &mut [u8]) {
+        match self.balancer.on_packet(Instant::now(), header) {
+            Fate::Forward { to, trail } => {
+                self.format.set_trail(packet, trail);
+                self.packets.send(SocketAddrV4::new(to, self.port), packet);
+            }
+            Fate::Reset => {
+                let flow = header.caller_flow();
+                let reset = self.format.reset(flow, 0);
+                let caller = SocketAddrV4::new(*flow.caller.ip(), self.port);
+                self.packets.send(caller, &reset);
+            }
+            Fate::Drop => {}
         }
-        Fate::Drop => {}
     }
 }
--- /dev/null
+++ b/src/forwarded/link.rs
@@ -0,0 +1,104 @@
+//! What a balancer and an agent share: they greet, learn of nodes, fetch the configuration, and write
+//! down what they decided.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use dogwoodrill_core::forwarded::decision::Decision;
+use dogwoodrill_core::forwarded::inquiry::Denial;
+use dogwoodrill_core::forwarded::keepers::FlowPlace;
+use dogwoodrill_core::forwarded::mesh::{Mesh, NodeAddress};
+use dogwoodrill_core::forwarded::node::{NodeRole, NodeSettings};
+use dogwoodrill_core::forwarded::service_map::ServiceMap;
+use dogwoodrill_core::ids::LogIndex;
+use dogwoodrill_wire::convert::forwarded::Datagram;
+
+use super::datagrams::Datagrams;
+use super::fetch::{Fetched, Fetcher};
+use super::journal::{Event, Journal};
+use super::metrics::{ForwardMetrics, SocketCalls};
+use crate::context::Cx;
+
+/// A node's way to the other nodes, and its log.
+#[derive(Debug)]
+pub(super) struct Link {
+    pub(super) datagrams: Datagrams,
+    pub(super) fetcher: Fetcher,
+    pub(super) journal: Journal,
+    pub(super) metrics: ForwardMetrics,
+}
+
+/// What a datagram says of flows.
+#[derive(Debug)]
+pub(super) struct FlowNews {
+    pub(super) places: Vec<FlowPlace>,
+    pub(super) denials: Vec<Denial>,
+}
+
+impl Link {
+    /// Binds the socket.
+    pub(super) fn bind(
+        cx: &Cx,
+        settings: &NodeSettings,
+        calls: SocketCalls,
+        journal: Journal,
+    ) -> std::io::Result<Self> {
+        Ok(Self {
+            datagrams: Datagrams::bind(settings, calls)?,
+            fetcher: Fetcher::new(cx.clone(), settings.inner_port),
+            journal,
+            metrics: ForwardMetrics::register(&cx.metrics),
+        })
+    }
+
+    /// Takes in a datagram of `from` but for what it says of flows. `own` is the configuration in force.
+    pub(super) fn on_datagram(
+        &mut self,
+        now: Instant,
+        from: Ipv4Addr,
+        datagram: Datagram,
+        mesh: &mut Mesh,
+        own: LogIndex,
+    ) -> FlowNews {
+        let (role, theirs) = (datagram.greeting.role, datagram.greeting.index);
+        let news = mesh.on_greeting(now, from, datagram.greeting);
+        mesh.learn_all(now, datagram.nodes);
+        self.journal.node(NodeAddress { ip: from, role }, news);
+        if role == NodeRole::Control {
+            self.fetcher.on_index(from, theirs, own);
+        }
+        FlowNews {
+            places: datagram.places,
+            denials: datagram.denials,
+        }
+    }
+
+    /// A fetch has ended. `on_map` takes its configuration, and tells whether it is in force now.
+    pub(super) fn on_fetched(
+        &mut self,
+        fetched: Fetched,
+        on_map: impl FnOnce(Arc<ServiceMap>) -> bool,
+    ) {
+        let from = fetched.from;
+        let Some(map) = fetched.into_map(&mut self.journal) else {
+            return;
+        };
+        let index = map.index.get();
+        if on_map(map) {
+            self.metrics.config_index.set(index.cast_signed());
+            let event = Event::new("configuration in force").about(&from);
+            self.journal.event(event.at(index));
+        }
+    }
+
+    /// Writes down what was decided, and how many flows are remembered.
+    pub(super) fn record(&mut self, decisions: Vec<Decision>, flows: usize) {
+        self.metrics
+            .flows
+            .set(i64::try_from(flows).unwrap_or(i64::MAX));
+        self.metrics.on_decisions(&decisions);
+        self.journal.decisions(decisions);
+        self.journal.flush();
+    }
+}
--- a/src/forwarded/packets.rs
+++ b/src/forwarded/packets.rs
@@ -157,12 +157,11 @@
             }
             Ok(())
         });
-        match received {
-            Err(e) if e.kind() != ErrorKind::WouldBlock => {
-                // It belongs to a datagram sent before, whose receiver is not there.
-                log::info!("a datagram did not arrive: {e}");
-            }
-            _ => {}
+        if let Err(e) = received
+            && e.kind() != ErrorKind::WouldBlock
+        {
+            // It belongs to a datagram sent before, whose receiver is not there.
+            log::info!("a datagram did not arrive: {e}");
         }
     }
 
--- a/tests/testsuite/forwarded/hosts.rs
+++ b/tests/testsuite/forwarded/hosts.rs
@@ -26,6 +26,7 @@
 use dogwoodrill_core::time::UnixMillis;
 use dogwoodrill_platform::document;
 use dogwoodrill_platform::packet::PlatformPackets;
+use dogwoodrill_soak::network::free_port;
 use tempfile::TempDir;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
@@ -47,18 +48,10 @@
     pub packets: u16,
 }
 
-pub fn free_port() -> u16 {
-    let socket = std::net::UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0)).unwrap();
-    let listener = std::net::TcpListener::bind((Ipv4Addr::UNSPECIFIED, 0)).unwrap();
-    // A port that is free for one protocol is for the other too, but for rare cases that binding shows.
-    let _kept = listener;
-    socket.local_addr().unwrap().port()
-}
-
 pub fn ports() -> Ports {
     Ports {
-        inner: free_port(),
-        packets: free_port(),
+        inner: free_port().unwrap(),
+        packets: free_port().unwrap(),
     }
 }
 
