--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -61,6 +61,8 @@
     leader: Option<MemberId>,
     /// Whether a leader was known since the member started.
     has_known_leader: bool,
+    /// Campaigns before that.
+    first_campaigns: u32,
     /// When to campaign.
     election_at: Instant,
     /// Until when a leader that was heard is taken to be there, so that votes are refused.
@@ -91,6 +93,7 @@
             role: Role::Follower,
             leader: None,
             has_known_leader: false,
+            first_campaigns: 0,
             election_at: now,
             leader_until: None,
             pending: Pending::default(),
@@ -347,10 +350,13 @@
     }
 
     fn reset_election(&mut self, now: Instant) {
+        let usual = self.options.election_timeout;
         let shortest = if self.has_known_leader {
-            self.options.election_timeout
+            usual
         } else {
-            self.options.first_election_timeout
+            // Campaigns that follow each other faster than votes reach the disk end one another.
+            let doubled = 1_u32.checked_shl(self.first_campaigns).unwrap_or(u32::MAX);
+            usual.min(self.options.first_election_timeout.saturating_mul(doubled))
         };
         let spread = self.rng.random_range(0..=shortest.as_micros());
         let spread = u64::try_from(spread).unwrap_or(u64::MAX);
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -72,6 +72,7 @@
     }
 
     pub(super) fn campaign(&mut self, now: Instant) {
+        self.first_campaigns = self.first_campaigns.saturating_add(1);
         self.reset_election(now);
         if !self.membership().is_voter(self.id) {
             return;
--- a/crates/consensus/tests/testsuite/schedules.rs
+++ b/crates/consensus/tests/testsuite/schedules.rs
@@ -1,13 +1,13 @@
 //! Random schedules of faults, each drawn from one seed; and rules broken on purpose.
 
-use dogwoodrill_consensus::MemberId;
+use dogwoodrill_consensus::{MemberId, Node, Options, Restored, Snapshot};
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use rstest::rstest;
 
 use crate::checker::{Checked, Counts, Violation, holds};
 use crate::simulation::{CALM, Sabotage, Simulation};
-use crate::support::voters;
+use crate::support::{ELECTION_TIMEOUT, options, start, voters};
 
 const FAULTY_STEPS: u64 = 500;
 const HEALED_STEPS: u64 = 300;
@@ -130,3 +130,34 @@
         "{sabotage:?} was not caught"
     );
 }
+
+/// Hosts that start together campaign soon. A disk that takes longer than that to keep a vote would see one
+/// campaign end the other, so those that follow come further apart, up to the usual time.
+#[test]
+fn campaigns_before_the_first_leader_come_further_apart() {
+    let options = Options {
+        first_election_timeout: ELECTION_TIMEOUT / 10,
+        ..options()
+    };
+    let restored = Restored {
+        snapshot: Snapshot {
+            membership: voters(3),
+            ..Snapshot::default()
+        },
+        ..Restored::default()
+    };
+    let mut node = Node::new(MemberId::new(1), options, restored, start(), 7);
+    let waits = (0..6).map(|_| {
+        let now = node.next_deadline();
+        node.on_tick(now);
+        node.next_deadline() - now
+    });
+    let waits: Vec<_> = waits.collect();
+    let bounds = [2, 4, 8, 10, 10, 10].map(|tenths| ELECTION_TIMEOUT / 10 * tenths);
+    for (wait, least) in waits.iter().zip(bounds) {
+        assert!(
+            (least..=least * 2).contains(wait),
+            "{waits:?} against {bounds:?}"
+        );
+    }
+}
--- a/crates/core/benches/forwarded.rs
+++ b/crates/core/benches/forwarded.rs
@@ -49,6 +49,8 @@
                 flows: 0,
                 slots: 2,
             }),
+            is_vacant: false,
+            is_young: false,
         };
         mesh.on_greeting(now, agent(n), greeting);
     }
--- a/crates/core/src/forwarded/agent.rs
+++ b/crates/core/src/forwarded/agent.rs
@@ -24,7 +24,7 @@
 
 use super::decision::{Decision, Reason, Step};
 use super::gate::ColdBudget;
-use super::inquiry::{Denial, Inquiries};
+use super::inquiry::{Certainty, Denial, Inquiries};
 use super::keepers::{FlowDirectory, FlowPlace};
 use super::mesh::{Mesh, ServerReport};
 use super::packet::{Flags, FlowKey, Header, Purpose, Trail};
@@ -38,7 +38,7 @@
 mod location;
 mod openings;
 
-use flow::{Flow, IDLE_TTL, OPENING_TTL, Work};
+use flow::{Flow, HandedBack, IDLE_TTL, OPENING_TTL, Work};
 
 /// Time in which a caller sends its request once the flow is open: a round trip, and the wait for a
 /// lost packet.
@@ -47,8 +47,9 @@
 const WORK_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for which a flow is remembered after both ends have ended it, for packets sent again.
 const ENDED_TTL: Duration = Duration::from_secs(10);
-/// Searches in one tick; a bound on what packets of flows that never were can cost.
-const SEARCHES_PER_TICK: u32 = 4;
+/// Agents that are asked for unknown flows in one tick, each flow counted; a bound on what packets of flows
+/// that never were can cost. A search is always whole, so one may exceed it.
+const SEARCHED_PER_TICK: usize = 256;
 /// Time between two clean-ups of the tables.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// How far beyond a server's first position a caller may acknowledge for an opening flow to be that
@@ -146,11 +147,18 @@
     redirects: HashMap<FlowKey, Redirect>,
     directory: FlowDirectory,
     inquiries: Inquiries,
+    handed_back: HashMap<FlowKey, HandedBack>,
+    /// Searches that wait until it is known who else has just started.
+    postponed: Vec<(Ipv4Addr, Header, Bytes)>,
+    /// Flows that were denied to others before the agent was settled.
+    uncertain: Vec<(Ipv4Addr, FlowKey)>,
+    certainty_told: Certainty,
     unanswered: VecDeque<(Instant, FlowKey)>,
     expected: VecDeque<(Instant, FlowKey)>,
     retold_version: u64,
     to_retell: Vec<FlowKey>,
-    searches_left: u32,
+    /// Agents that may still be asked in this tick.
+    searched_left: usize,
     sweep_at: Instant,
     farewell_at: Option<Instant>,
     is_stopping: bool,
@@ -183,11 +191,15 @@
             redirects: HashMap::new(),
             directory: FlowDirectory::default(),
             inquiries: Inquiries::default(),
+            handed_back: HashMap::new(),
+            postponed: Vec::new(),
+            uncertain: Vec::new(),
+            certainty_told: Certainty::Unsettled,
             unanswered: VecDeque::new(),
             expected: VecDeque::new(),
             retold_version: 0,
             to_retell: Vec::new(),
-            searches_left: SEARCHES_PER_TICK,
+            searched_left: SEARCHED_PER_TICK,
             sweep_at: now,
             farewell_at: None,
             is_stopping: false,
@@ -384,6 +396,7 @@
     /// The server breaks off a flow that was only searched for here, and may be open elsewhere. It says by
     /// that that it does not hold it.
     fn on_foreign_reset(&mut self, now: Instant, key: FlowKey) -> Fate {
+        self.on_handed_back(now, key);
         if let Some(searcher) = self.remove(key).and_then(|f| f.searched_by) {
             self.deny(now, searcher, key);
         }
@@ -416,6 +429,7 @@
             ..Decision::new(Step::Bounced, key, self.map.index)
         });
         if !header.flags.is_opening() {
+            self.on_handed_back(now, key);
             if let Some(searcher) = removed.as_ref().and_then(|f| f.searched_by) {
                 self.deny(now, searcher, key);
             }
@@ -467,10 +481,11 @@
 
     /// Time passed.
     pub fn on_tick(&mut self, now: Instant) {
-        self.searches_left = SEARCHES_PER_TICK;
+        self.searched_left = SEARCHED_PER_TICK;
         self.offer_unanswered(now);
         self.end_expectations(now);
         self.admit(now);
+        self.learn_from_others(now);
         self.retell();
         if self.farewell_at.is_some_and(|at| at <= now) {
             self.farewell_at = None;
@@ -503,6 +518,7 @@
         self.mesh.on_tick(now);
         self.directory.expire(now);
         self.inquiries.expire(now);
+        self.handed_back.retain(|_, h| now < h.until);
         self.redirects.retain(|_, r| now < r.until);
         let over = self.flows.iter().filter(|(_, f)| f.forget_at <= now);
         for key in over.map(|(key, _)| *key).collect::<Vec<_>>() {
--- a/crates/core/src/forwarded/agent/flow.rs
+++ b/crates/core/src/forwarded/agent/flow.rs
@@ -72,6 +72,13 @@
     pub(super) forget_at: Instant,
 }
 
+/// A flow that the server does not hold.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct HandedBack {
+    pub(super) life: Life,
+    pub(super) until: Instant,
+}
+
 impl Flow {
     /// Whether the server was only given a packet of the flow, and has not shown that it holds it: it may
     /// be open elsewhere.
--- a/crates/core/src/forwarded/agent/location.rs
+++ b/crates/core/src/forwarded/agent/location.rs
@@ -5,22 +5,26 @@
 
 use bytes::Bytes;
 
-use super::{Action, Agent, Fate, Flow, IDLE_TTL};
+use super::{Action, Agent, Fate, Flow, HandedBack, IDLE_TTL};
 use crate::forwarded::decision::{Decision, Step};
-use crate::forwarded::inquiry::Denial;
+use crate::forwarded::inquiry::{Certainty, Denial};
 use crate::forwarded::keepers::{FlowPlace, Keepers};
 use crate::forwarded::node::NodeRole;
 use crate::forwarded::packet::{FlowKey, Header, Purpose, Trail};
-use crate::forwarded::service_map::ServiceLabel;
 
 /// How often any packet is passed on between agents; a bound on loops between stale views.
 const MAX_FOLLOWING_HOPS: u8 = 6;
-/// Agents that a packet of an unknown flow is sent to: all there are, or in a larger fleet as many of the
-/// flow's service.
-const MAX_SEARCHED: usize = 64;
 /// Time after its start in which an agent may not know all others: those that started with it may not have
 /// greeted it yet.
 const SETTLED_AFTER: Duration = Duration::from_secs(1);
+/// Time after its start for which an agent is young: hosts that get power at the same time start within it.
+const YOUNG_FOR: Duration = Duration::from_secs(2);
+/// Searches that wait until it is known who else has just started; bounds memory.
+const MAX_POSTPONED: usize = 1024;
+/// Denials that are repeated once the agent is surer; bounds memory.
+const MAX_UNCERTAIN: usize = 1024;
+/// Flows that the server handed back and that are remembered; bounds memory.
+const MAX_HANDED_BACK: usize = 4096;
 /// Flows that keepers are told of anew in one tick.
 const RETOLD_PER_TICK: usize = 64;
 
@@ -46,7 +50,7 @@
         match trail.purpose {
             // The flow opened at another server, whose agent the keeper did not hear of.
             Purpose::Kept | Purpose::Search if self.flows.contains_key(&key) => Fate::Drop,
-            Purpose::Search => self.on_search(now, from, header),
+            Purpose::Search => self.on_search(now, from, header, packet),
             // Whoever told the keeper so has ended with its server.
             Purpose::Kept if self.knows_all_flows(now) => self.search(now, header, packet),
             Purpose::Kept => self.adopt(now, header),
@@ -68,7 +72,7 @@
         let Keepers { first, second } = self.mesh.ring().keepers(key);
         let first = first.filter(|ip| *ip != own);
         let second = second.filter(|ip| *ip != own);
-        if purpose == Purpose::Placed && self.may_hold_unknown(now) {
+        if purpose == Purpose::Placed && self.may_hold_unknown(now, key) {
             return self.adopt(now, header);
         }
         match (purpose, first, second) {
@@ -91,44 +95,49 @@
     /// The keepers do not know the flow; whoever holds it takes the packet.
     fn search(&mut self, now: Instant, header: &Header, packet: &[u8]) -> Fate {
         let key = header.caller_flow();
-        if self.searches_left == 0 || header.trail.hops >= MAX_FOLLOWING_HOPS {
+        if self.searched_left == 0 || header.trail.hops >= MAX_FOLLOWING_HOPS {
             return Fate::Drop;
         }
-        self.searches_left -= 1;
-        let route = self.map.route(key.service);
-        let serves = |service: &ServiceLabel| route.is_some_and(|r| r.allows(service));
         let live = self.mesh.live(now, NodeRole::Agent);
-        let asks_all = live.clone().count() <= MAX_SEARCHED;
-        let live = live.filter(|(_, k)| {
-            let report = k.report.as_ref().map(|h| &h.report);
-            asks_all || report.is_some_and(|r| serves(&r.service))
-        });
         let trail = header.trail.passed_on(Purpose::Search);
         let packet = Bytes::copy_from_slice(packet);
-        let asked = live.take(MAX_SEARCHED).map(|(to, _)| Action::Forward {
+        let before = self.actions.len();
+        let asked = live.map(|(to, _)| Action::Forward {
             to,
             trail,
             packet: packet.clone(),
         });
         self.actions.extend(asked);
-        if let Some(agents) = self.mesh.agent_set(now).filter(|_| asks_all) {
-            self.inquiries.ask(now, key, header.ack, agents);
-        }
+        let asked = (self.actions.len() - before).max(1);
+        self.searched_left = self.searched_left.saturating_sub(asked);
+        let agents = self.mesh.agent_set();
+        self.inquiries.ask(now, key, header.ack, agents);
         self.decide(Decision {
             hops: header.trail.hops,
             ..Decision::new(Step::Searched, key, self.map.index)
         });
-        self.on_search(now, self.mesh.own().ip, header)
+        self.on_search(now, self.mesh.own().ip, header, &packet)
     }
 
     /// `searcher` looks for a flow that is not known here. What the agent cannot deny itself it leaves to
-    /// the server, which hands back what it does not hold.
-    fn on_search(&mut self, now: Instant, searcher: Ipv4Addr, header: &Header) -> Fate {
+    /// the server, which hands back what it does not hold. A young agent first waits for who else is young.
+    fn on_search(
+        &mut self,
+        now: Instant,
+        searcher: Ipv4Addr,
+        header: &Header,
+        packet: &[u8],
+    ) -> Fate {
         let key = header.caller_flow();
-        if self.knows_all_flows(now) {
+        if self.knows_all_flows(now) || self.has_handed_back(key) {
             self.deny(now, searcher, key);
             return Fate::Drop;
         }
+        if self.is_young(now) && !self.mesh.is_quiet(now) && self.postponed.len() < MAX_POSTPONED {
+            let packet = Bytes::copy_from_slice(packet);
+            self.postponed.push((searcher, *header, packet));
+            return Fate::Drop;
+        }
         let mut flow = self.found_open(now, header);
         flow.searched_by = Some(searcher);
         self.flows.insert(key, flow);
@@ -137,22 +146,88 @@
 
     /// Whether the agent has seen every flow that can be open at its server.
     fn knows_all_flows(&self, now: Instant) -> bool {
-        let is_gone = self.server.is_gone() && self.farewell_at.is_none();
-        self.server.is_seen_whole() || is_gone || now >= self.started_at + self.max_flow_age
+        let is_old = now >= self.started_at + self.max_flow_age;
+        self.server.is_seen_whole() || self.has_ended() || is_old
+    }
+
+    /// Whether the server's life is over, and its flows have been ended.
+    fn has_ended(&self) -> bool {
+        self.server.is_gone() && self.farewell_at.is_none()
+    }
+
+    /// Whether no flow can be open beside this agent: its server has ended, or none has reported since the
+    /// agent started, though one that is there would have.
+    pub fn is_vacant(&self, now: Instant) -> bool {
+        self.has_ended() || self.server.is_missing(now, self.started_at)
+    }
+
+    /// Whether the server, in its present life, has shown that it does not hold the flow. It can do so later
+    /// only by an opening packet that passes here.
+    fn has_handed_back(&self, key: FlowKey) -> bool {
+        let life = self.server.life();
+        self.handed_back.get(&key).is_some_and(|h| h.life == life)
+    }
+
+    /// The server does not hold the flow.
+    pub(super) fn on_handed_back(&mut self, now: Instant, key: FlowKey) {
+        if self.handed_back.len() < MAX_HANDED_BACK {
+            let life = self.server.life();
+            let until = now + IDLE_TTL;
+            self.handed_back.insert(key, HandedBack { life, until });
+        }
+    }
+
+    /// Whether the agent has started a moment ago, beside no server that it knows to be older.
+    pub fn is_young(&self, now: Instant) -> bool {
+        now < self.started_at + YOUNG_FOR && !self.server.has_outlived_agent()
+    }
+
+    /// A server that was first heard by its second or third report may have got flows from an agent before
+    /// this one, but not if everything has just started.
+    pub(super) fn learn_from_others(&mut self, now: Instant) {
+        if self.is_young(now) && self.mesh.are_all_young(now) {
+            self.server.set_seen_whole();
+        }
+        if !self.postponed.is_empty() && (self.mesh.is_quiet(now) || !self.is_young(now)) {
+            for (searcher, header, packet) in std::mem::take(&mut self.postponed) {
+                let is_here = self.flows.contains_key(&header.caller_flow());
+                if !is_here && self.on_search(now, searcher, &header, &packet) == Fate::Deliver {
+                    self.actions.push(Action::Deliver(packet));
+                }
+            }
+        }
+        let certainty = self.certainty(now);
+        if certainty > self.certainty_told {
+            self.certainty_told = certainty;
+            for (searcher, flow) in std::mem::take(&mut self.uncertain) {
+                self.deny(now, searcher, flow);
+            }
+        }
+    }
+
+    fn certainty(&self, now: Instant) -> Certainty {
+        if now >= self.started_at + SETTLED_AFTER {
+            Certainty::Settled
+        } else if self.mesh.is_quiet(now) && self.is_young(now) {
+            Certainty::AllFresh
+        } else {
+            Certainty::Unsettled
+        }
     }
 
     /// Tells `searcher` that the flow is not here.
     pub(super) fn deny(&mut self, now: Instant, searcher: Ipv4Addr, flow: FlowKey) {
-        let Some(agents) = self.mesh.agent_set(now) else {
-            return;
-        };
+        let certainty = self.certainty(now);
+        if certainty < Certainty::Settled && self.uncertain.len() < MAX_UNCERTAIN {
+            self.uncertain.push((searcher, flow));
+        }
         let denial = Denial {
             flow,
-            agents,
-            is_settled: now >= self.started_at + SETTLED_AFTER,
+            agents: self.mesh.agent_set(),
+            certainty,
         };
         if searcher == self.mesh.own().ip {
-            self.on_denials(now, searcher, [denial]);
+            self.on_denials(searcher, [denial]);
         } else {
             let to = searcher;
             self.actions.push(Action::Deny { to, denial });
@@ -163,7 +238,6 @@
     /// is nowhere, and its caller is told.
     pub fn on_denials(
         &mut self,
-        now: Instant,
         from: Ipv4Addr,
         denials: impl IntoIterator<Item = Denial>,
     ) {
@@ -172,11 +246,10 @@
             return;
         }
         let own = self.mesh.own().ip;
-        let known = self.mesh.agent_set(now);
-        for denial in denials.filter(|d| Some(d.agents) == known) {
-            let others = self.mesh.agents().map(|(ip, _)| ip);
-            let agents = others.chain([own]);
-            let Some(seq) = self.inquiries.on_denial(from, denial, agents) else {
+        let known = self.mesh.agent_set();
+        for denial in denials.filter(|d| d.agents == known) {
+            let deniers = self.mesh.deniers();
+            let Some(seq) = self.inquiries.on_denial(from, denial, deniers) else {
                 continue;
             };
             let flow = denial.flow;
@@ -189,16 +262,17 @@
         }
     }
 
-    /// Whether flows may be open at the server that the agent, which started later, does not know.
-    fn may_hold_unknown(&self, now: Instant) -> bool {
-        self.server.is_older() && now < self.started_at + self.max_flow_age
+    /// Whether the flow may be open at the server though the agent, which started later, does not know it.
+    fn may_hold_unknown(&self, now: Instant, key: FlowKey) -> bool {
+        let is_young = now < self.started_at + self.max_flow_age;
+        self.server.is_older() && is_young && !self.has_handed_back(key)
     }
 
     /// A flow that others say is here. An agent that started lately leaves it to the server, which
     /// hands back what it does not hold.
     fn adopt(&mut self, now: Instant, header: &Header) -> Fate {
         let key = header.caller_flow();
-        if !self.may_hold_unknown(now) {
+        if !self.may_hold_unknown(now, key) {
             self.decide(Decision {
                 hops: header.trail.hops,
                 ..Decision::new(Step::UnknownFlow, key, self.map.index)
--- a/crates/core/src/forwarded/agent/openings.rs
+++ b/crates/core/src/forwarded/agent/openings.rs
@@ -183,6 +183,7 @@
         let until = now + OPENING_TTL;
         let flow = Flow::opening(self.server.life(), header, packet, until);
         self.busy += 1;
+        self.handed_back.remove(&key);
         self.flows.insert(key, flow);
         self.unanswered.push_back((now + ANSWER_TIMEOUT, key));
         self.expected.push_back((until, key));
--- a/crates/core/src/forwarded/decision.rs
+++ b/crates/core/src/forwarded/decision.rs
@@ -27,7 +27,7 @@
     /// The flow's place is not known here; a keeper is asked.
     #[display("asked keeper")]
     AskedKeeper,
-    /// A keeper did not know the flow; all agents of the service are asked.
+    /// A keeper did not know the flow; all agents are asked.
     #[display("searched")]
     Searched,
     /// An agent gave the opening packet to its server.
--- a/crates/core/src/forwarded/inquiry.rs
+++ b/crates/core/src/forwarded/inquiry.rs
@@ -4,10 +4,11 @@
 //! who comes back knows the flows that were open there, and their callers would send into the void
 //! until their own time limits. An agent that searched for a flow in vain may break it off, but only
 //! if no server can hold it: every agent there is has denied it, all of them know the same agents, and
-//! one of them has been there long enough to know all. So an agent that the searcher has not heard of,
-//! or that fell silent lately, is not passed over.
+//! these are all that there are. So an agent that the searcher has not heard of, or that fell silent
+//! lately, is not passed over. In a large fleet some agent is always silent; one that said before that no
+//! server is beside it, and one that had denied the flow, are not waited for.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
@@ -25,6 +26,18 @@
 #[display("{_0:016x}")]
 pub struct AgentSet(u64);
 
+/// How sure an agent is that it knows all agents.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Certainty {
+    /// More may come.
+    Unsettled,
+    /// Everything has just started and nobody has come for a while. Not said beside a server that outlived
+    /// the agent before: then other servers may have done so, whose agents come later.
+    AllFresh,
+    /// It has been there for long.
+    Settled,
+}
+
 /// An agent says that its backend server does not hold a flow.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Denial {
@@ -32,8 +45,8 @@
     pub flow: FlowKey,
     /// The agents that it knows of.
     pub agents: AgentSet,
-    /// Whether it has been there long enough to know all that are there.
-    pub is_settled: bool,
+    /// How sure it is that these are all.
+    pub certainty: Certainty,
 }
 
 #[derive(Debug)]
@@ -41,11 +54,28 @@
     /// What the caller expects next.
     seq: u32,
     agents: AgentSet,
-    denied: BTreeSet<Ipv4Addr>,
-    is_settled: bool,
+    denied: BTreeMap<Ipv4Addr, Certainty>,
     until: Instant,
 }
 
+impl Inquiry {
+    /// What was denied by those who knew other agents does not count.
+    fn settle_on(&mut self, agents: AgentSet) {
+        if self.agents != agents {
+            self.agents = agents;
+            self.denied.clear();
+        }
+    }
+
+    /// Whether those who denied the flow are sure to know all agents: one of them for itself, or all of them
+    /// together.
+    fn is_certain(&self) -> bool {
+        let least = self.denied.values().min();
+        let most = self.denied.values().max();
+        most == Some(&Certainty::Settled) || least >= Some(&Certainty::AllFresh)
+    }
+}
+
 /// Flows that an agent asks the others about.
 #[derive(Debug, Default)]
 pub struct Inquiries {
@@ -61,21 +91,16 @@
         let inquiry = self.open.entry(flow).or_insert_with(|| Inquiry {
             seq,
             agents,
-            denied: BTreeSet::new(),
-            is_settled: false,
+            denied: BTreeMap::new(),
             until: now,
         });
-        if inquiry.agents != agents {
-            inquiry.agents = agents;
-            inquiry.denied.clear();
-            inquiry.is_settled = false;
-        }
+        inquiry.settle_on(agents);
         inquiry.seq = seq;
         inquiry.until = now + INQUIRY_TTL;
     }
 
-    /// An agent denies a flow. Once all of `agents` have, the inquiry ends and gives what the caller
-    /// expects next.
+    /// An agent denies a flow, and knows the same agents as this one does now. Once all of `agents` have, the
+    /// inquiry ends and gives what the caller expects next.
     pub fn on_denial(
         &mut self,
         from: Ipv4Addr,
@@ -83,12 +108,9 @@
         mut agents: impl Iterator<Item = Ipv4Addr>,
     ) -> Option<u32> {
         let inquiry = self.open.get_mut(&denial.flow)?;
-        if inquiry.agents != denial.agents {
-            return None;
-        }
-        inquiry.denied.insert(from);
-        inquiry.is_settled |= denial.is_settled;
-        if !inquiry.is_settled || !agents.all(|ip| inquiry.denied.contains(&ip)) {
+        inquiry.settle_on(denial.agents);
+        inquiry.denied.insert(from, denial.certainty);
+        if !inquiry.is_certain() || !agents.all(|ip| inquiry.denied.contains_key(&ip)) {
             return None;
         }
         self.open.remove(&denial.flow).map(|inquiry| inquiry.seq)
--- a/crates/core/src/forwarded/mesh.rs
+++ b/crates/core/src/forwarded/mesh.rs
@@ -30,6 +30,12 @@
 const MISSED_GREETINGS: u32 = 3;
 /// Time after the first greeting in which a node need not have heard this one yet.
 const FIRST_CONTACT: Duration = Duration::from_secs(2);
+/// Time between two greetings to a control host in the first seconds, while none has answered: hosts that
+/// start together come within some hundred milliseconds, and until then a node knows nobody.
+const CALL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time without a new agent after which those that started together are taken to be all there. A node that
+/// starts is heard by all after a call to a control host and a greeting to each; this is twice that.
+const QUIET_SPAN: Duration = Duration::from_millis(150);
 /// Time after which a node that neither greets nor is listed is forgotten; far above every cut that
 /// heals by itself within seconds.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
@@ -85,6 +91,10 @@
     pub heard: Option<Duration>,
     /// What an agent says of its server.
     pub report: Option<ServerReport>,
+    /// An agent says that no flow can be open beside it: no server is there.
+    pub is_vacant: bool,
+    /// An agent says that it has started a moment ago, beside no server that it knows to be older.
+    pub is_young: bool,
 }
 
 /// A node by its address and role.
@@ -118,12 +128,17 @@
     pub index: LogIndex,
     first_heard_at: Option<Instant>,
     heard_at: Option<Instant>,
+    known_since: Instant,
     listed_at: Instant,
     /// When it last heard this node, as far as it said.
     heard_us_at: Option<Instant>,
     greet_at: Instant,
     /// The last report of an agent.
     pub report: Option<HeardReport>,
+    /// Whether the agent said last that no server is beside it.
+    pub is_vacant: bool,
+    /// Whether it said last that it has just started.
+    pub is_young: bool,
 }
 
 impl Known {
@@ -141,6 +156,10 @@
     ring: KeeperRing,
     lost_after: Duration,
     ring_version: u64,
+    /// When a control host first answered.
+    answered_at: Option<Instant>,
+    /// When an agent last came that was not there before.
+    newest_agent_at: Option<Instant>,
 }
 
 /// What became known by a greeting.
@@ -161,6 +180,8 @@
             ring: KeeperRing::default(),
             lost_after: GREETING_INTERVAL * (MISSED_GREETINGS + 1),
             ring_version: 0,
+            answered_at: None,
+            newest_agent_at: None,
         }
     }
 
@@ -186,10 +207,13 @@
             index: LogIndex::default(),
             first_heard_at: None,
             heard_at: None,
+            known_since: now,
             listed_at: now,
             heard_us_at: None,
             greet_at: now,
             report: None,
+            is_vacant: false,
+            is_young: false,
         });
         known.listed_at = now;
     }
@@ -229,8 +253,15 @@
             at: now,
             sent_since: 0,
         });
-        if role == NodeRole::Agent && (news.is_new || news.restarted) {
-            self.renew_ring(now);
+        known.is_vacant = greeting.is_vacant;
+        known.is_young = greeting.is_young;
+        match role {
+            NodeRole::Agent if news.is_new || news.restarted => {
+                self.newest_agent_at = Some(now);
+                self.renew_ring(now);
+            }
+            NodeRole::Control => self.answered_at = self.answered_at.or(Some(now)),
+            NodeRole::Agent | NodeRole::Balancer => {}
         }
         news
     }
@@ -238,6 +269,8 @@
     /// Nodes that are due a greeting; each is due again an interval later.
     pub fn due(&mut self, now: Instant) -> Vec<NodeAddress> {
         let again_at = now + self.greeting_interval();
+        let call_again_at = now + CALL_INTERVAL;
+        let is_answered = self.answered_at.is_some();
         let own = self.own.role;
         let greeted = |role| match own {
             NodeRole::Control => false,
@@ -247,7 +280,13 @@
         let due = self.nodes.iter_mut();
         let due = due.filter(|(_, k)| greeted(k.role) && k.greet_at <= now);
         due.map(|(ip, known)| {
-            known.greet_at = again_at;
+            let calls = known.role == NodeRole::Control && !is_answered;
+            let is_early = now < known.known_since + FIRST_CONTACT;
+            known.greet_at = if calls && is_early {
+                call_again_at
+            } else {
+                again_at
+            };
             NodeAddress {
                 ip: *ip,
                 role: known.role,
@@ -338,21 +377,38 @@
         self.nodes().filter(|(_, k)| k.role == NodeRole::Agent)
     }
 
-    /// Stands for all agents, this node among them; none while one of them is not heard, or was never.
-    pub fn agent_set(&self, now: Instant) -> Option<AgentSet> {
-        let mut ips = vec![self.own.ip];
-        for (ip, known) in self.agents() {
-            if !self.is_heard(now, known) {
-                return None;
-            }
-            ips.push(ip);
-        }
+    /// Stands for [`Self::deniers`].
+    pub fn agent_set(&self) -> AgentSet {
+        let mut ips: Vec<_> = self.deniers().collect();
         ips.sort_unstable();
         let mut hasher = SipHasher13::new();
         for ip in ips {
             hasher.write(&ip.octets());
         }
-        Some(hasher.finish().into())
+        hasher.finish().into()
+    }
+
+    /// Agents that must deny a flow for it to be nowhere, this one among them: all beside which it can be
+    /// open. One that is silent is passed over only if it said before that no server was beside it.
+    pub fn deniers(&self) -> impl Iterator<Item = Ipv4Addr> {
+        let others = self.agents().filter(|(_, k)| !k.is_vacant);
+        others.map(|(ip, _)| ip).chain([self.own.ip])
+    }
+
+    /// Whether a control host has answered, and no agent has come since for a while.
+    pub fn is_quiet(&self, now: Instant) -> bool {
+        let Some(answered_at) = self.answered_at else {
+            return false;
+        };
+        let newest = self.newest_agent_at.unwrap_or(answered_at);
+        now >= newest.max(answered_at) + QUIET_SPAN
+    }
+
+    /// Whether all agents have just started and nobody has come since, as after a loss of power everywhere.
+    pub fn are_all_young(&self, now: Instant) -> bool {
+        let mut agents = self.agents();
+        let is_young = |k: &Known| k.is_vacant || (k.is_young && self.is_heard(now, k));
+        self.is_quiet(now) && agents.all(|(_, k)| is_young(k))
     }
 
     /// Whether packets get through to a node, as far as it said. One that was just heard for the
--- a/crates/core/src/forwarded/server.rs
+++ b/crates/core/src/forwarded/server.rs
@@ -270,6 +270,24 @@
         current.is_none_or(|c| c.begun == Begun::Before && !c.is_over)
     }
 
+    /// Whether the server had been there for a while when the agent first heard it.
+    pub fn has_outlived_agent(&self) -> bool {
+        let current = self.current.as_ref();
+        current.is_some_and(|c| c.begun == Begun::Before)
+    }
+
+    /// Every flow of the present life is known to have passed by the agent.
+    pub fn set_seen_whole(&mut self) {
+        if let Some(current) = self.current.as_mut().filter(|c| c.begun == Begun::Beside) {
+            current.begun = Begun::Seen;
+        }
+    }
+
+    /// Whether none has reported to the agent, which started at `since`, though one that is there would have.
+    pub fn is_missing(&self, now: Instant, since: Instant) -> bool {
+        self.current.is_none() && now > since + self.report_interval.mul_f64(DOUBTFUL_REPORTS)
+    }
+
     /// Whether the server's life is over, and no other has begun.
     pub fn is_gone(&self) -> bool {
         self.current.as_ref().is_some_and(|c| c.is_over)
--- a/crates/core/tests/testsuite/forwarded/faults.rs
+++ b/crates/core/tests/testsuite/forwarded/faults.rs
@@ -201,6 +201,92 @@
     assert!(world.breaches.is_empty(), "{:?}", world.breaches);
 }
 
+/// However many agents there are: a search asks all of them.
+#[rstest]
+#[case::tens(60)]
+#[case::more_than_a_hundred(120)]
+fn callers_are_told_in_fleets_of_any_size(#[case] agents: usize) {
+    let mut world = World::new(1, agents - 20, 20, 2);
+    world.run_for(Duration::from_secs(1));
+    let flows = open_calls(&mut world, 200);
+    let lost = world.holder(flows[0]).unwrap();
+    world.at(Duration::ZERO, Change::LosePower(lost));
+    world.at(300 * MS, Change::RegainPower(lost));
+    world.run_for(Duration::from_millis(1500));
+    let there = flows.iter().filter(|f| world.holder(**f) == Some(lost));
+    assert_eq!(broken_off(&world), there.count(), "{:?}", world.steps);
+    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+}
+
+/// Balancers and agents of all hosts start again 100 ms after power was lost; those of `leaving` have a server
+/// that was about to go and does not report any more.
+fn lose_all_power(world: &mut World, leaving: &[usize]) {
+    for n in 0..10 {
+        world.at(Duration::ZERO, Change::LosePower(n));
+        let back = if leaving.contains(&n) {
+            Change::RegainPowerUnreported(n)
+        } else {
+            Change::RegainPower(n)
+        };
+        world.at(100 * MS, back);
+    }
+    world.at(Duration::ZERO, Change::RemoveBalancer(0));
+    world.at(Duration::ZERO, Change::RemoveBalancer(1));
+}
+
+/// Nothing outlived the loss of power, so nobody has to wait in case somebody comes late: agents greet every
+/// 250 ms, are sure after 250 ms more, and callers send again after 200 ms.
+#[rstest]
+fn callers_are_told_soon_after_all_hosts_lost_power(#[values(1, 2, 3)] seed: u64) {
+    let mut world = World::new(seed, 7, 3, 2);
+    let flows = open_calls(&mut world, 14);
+    lose_all_power(&mut world, &[]);
+    world.at(100 * MS, Change::AddBalancer);
+    world.run_for(100 * MS + 250 * MS + 250 * MS + 200 * MS);
+    assert_eq!(broken_off(&world), flows.len(), "{:?}", world.steps);
+    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+}
+
+/// Agents of servers that were about to go come back from a loss of power and are then taken away, one after
+/// the other, without a word. Callers of flows that ended with the power are told all the same.
+#[rstest]
+fn callers_are_told_though_agents_fell_silent(#[values(1, 2, 3)] seed: u64) {
+    let mut world = World::new(seed, 7, 3, 2);
+    let flows = open_calls(&mut world, 14);
+    lose_all_power(&mut world, &[2, 5, 8]);
+    for (after, n) in [(1800, 2), (2000, 5), (2200, 8)] {
+        world.at(after * MS, Change::LosePower(n));
+    }
+    world.at(2500 * MS, Change::AddBalancer);
+    world.run_for(2500 * MS + 500 * MS);
+    assert_eq!(broken_off(&world), flows.len(), "{:?}", world.steps);
+    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+}
+
+/// Servers outlived their agents, and one host is gone, so that nobody can say of its flows that they are over.
+/// Callers go on asking; each server shows once that it does not hold such a flow.
+#[rstest]
+fn a_server_is_asked_once_for_a_flow(#[values(1, 2, 3)] seed: u64) {
+    let mut world = World::new(seed, 7, 3, 2);
+    let flows = open_calls(&mut world, 14);
+    let lost = world.holder(flows[0]).unwrap();
+    let there = flows.iter().filter(|f| world.holder(**f) == Some(lost));
+    let there = u32::try_from(there.count()).unwrap();
+    restart_all(&mut world);
+    world.at(Duration::ZERO, Change::LosePower(lost));
+    world.run_for(Duration::from_secs(4));
+    let bounced = world.steps.get(&(Step::Bounced, None)).copied();
+    let searched = world.steps.get(&(Step::Searched, None)).copied();
+    let servers = 9;
+    // Flows that are open are searched for too, until they are found.
+    assert!(
+        bounced <= Some(14 * servers),
+        "{bounced:?}, {searched:?} searches, {there} flows lost"
+    );
+    assert!(searched >= Some(there * 5), "{searched:?}");
+    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+}
+
 /// What the other agents lose while one holds flows: their caches, their directories, the way to it, or
 /// the route that its flows came by. None of that tells that a flow is nowhere.
 #[derive(Clone, Copy, Debug)]
--- a/crates/core/tests/testsuite/forwarded/mesh.rs
+++ b/crates/core/tests/testsuite/forwarded/mesh.rs
@@ -37,6 +37,8 @@
             flows: 0,
             slots: 2,
         }),
+        is_vacant: false,
+        is_young: false,
     }
 }
 
@@ -134,3 +136,76 @@
     mesh.on_tick(start + Duration::from_secs(31));
     assert!(mesh.get(AGENT).is_none());
 }
+
+const CONTROL: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 9);
+
+fn control_answers(mesh: &mut Mesh, now: Instant) {
+    let answer = Greeting {
+        role: NodeRole::Control,
+        report: None,
+        ..greeting(1, None)
+    };
+    mesh.on_greeting(now, CONTROL, answer);
+}
+
+/// Greetings to a control host in the first `span`, looked at every 10 ms.
+fn calls(mesh: &mut Mesh, from: Instant, span: Duration) -> usize {
+    let looks = (0..).map(|n| from + Duration::from_millis(10) * n);
+    let looks = looks.take_while(|at| *at < from + span);
+    looks.map(|now| mesh.due(now).len()).sum()
+}
+
+/// All hosts start at once, and control hosts some hundred milliseconds after the others: a node calls
+/// them more often until one answers, but not for ever.
+#[test]
+fn a_node_that_knows_nobody_calls_the_control_hosts_often() {
+    let start = Instant::now();
+    let second = Duration::from_secs(1);
+    let mut mesh = balancer();
+    let role = NodeRole::Control;
+    mesh.learn(start, NodeAddress { ip: CONTROL, role });
+    assert_eq!(calls(&mut mesh, start, second), 20);
+    assert_eq!(calls(&mut mesh, start + second * 3, second), 4);
+    let mut mesh = balancer();
+    mesh.learn(start, NodeAddress { ip: CONTROL, role });
+    control_answers(&mut mesh, start);
+    assert_eq!(calls(&mut mesh, start, second), 4);
+}
+
+#[test]
+fn a_node_is_quiet_once_nobody_has_come_for_a_while() {
+    let start = Instant::now();
+    let after = |n| start + GREETING_INTERVAL * n;
+    let mut mesh = balancer();
+    mesh.on_greeting(start, AGENT, greeting(1, None));
+    assert!(
+        !mesh.is_quiet(after(9)),
+        "no control host has said who is there"
+    );
+    control_answers(&mut mesh, after(9));
+    assert!(!mesh.is_quiet(after(9)), "those that it named may come");
+    assert!(mesh.is_quiet(after(10)));
+    mesh.on_greeting(after(10), AGENT, greeting(2, None));
+    assert!(!mesh.is_quiet(after(10)), "an agent has just come");
+    assert!(mesh.is_quiet(after(11)));
+}
+
+/// A silent agent may come back with its flows; one that said before that no server is beside it cannot.
+#[rstest]
+#[case::with_a_server(false, 2)]
+#[case::vacant(true, 1)]
+fn a_silent_agent_must_deny_a_flow_that_it_may_hold(
+    #[case] is_vacant: bool,
+    #[case] expected: usize,
+) {
+    let start = Instant::now();
+    let mut mesh = balancer();
+    let said = Greeting {
+        is_vacant,
+        ..greeting(1, None)
+    };
+    mesh.on_greeting(start, AGENT, said);
+    mesh.on_tick(start + GREETING_INTERVAL * 4);
+    assert!(!mesh.is_live(start + GREETING_INTERVAL * 4, AGENT));
+    assert_eq!(mesh.deniers().count(), expected);
+}
--- a/crates/core/tests/testsuite/forwarded/servers.rs
+++ b/crates/core/tests/testsuite/forwarded/servers.rs
@@ -115,3 +115,14 @@
     server.on_statement(now, statement("b", 11, 1));
     assert!(!server.is_older());
 }
+
+/// A server that is there reports about once an interval; an agent that has heard none for longer has none.
+#[test]
+fn a_server_that_never_reported_is_missing() {
+    let now = Instant::now();
+    let mut server = Server::new(now, INTERVAL);
+    assert!(!server.is_missing(now + INTERVAL, now));
+    assert!(server.is_missing(now + INTERVAL * 2, now));
+    server.on_statement(now + INTERVAL * 2, statement("a", 10, 5));
+    assert!(!server.is_missing(now + INTERVAL * 9, now));
+}
--- a/crates/core/tests/testsuite/forwarded/world.rs
+++ b/crates/core/tests/testsuite/forwarded/world.rs
@@ -50,6 +50,8 @@
 const ELSEWHERE_PACKETS: u32 = 3;
 const ELSEWHERE_SPAN: Duration = Duration::from_secs(2);
 
+const CONTROL_IP: Ipv4Addr = Ipv4Addr::new(10, 3, 0, 0);
+
 pub const ORDERS: &str = "orders";
 pub const SHEETS: &str = "sheets";
 pub const ORDERS_ADDRESS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
@@ -109,6 +111,8 @@
     LosePower(usize),
     /// Both start again.
     RegainPower(usize),
+    /// Both start again, but the server, which was leaving, does not report any more.
+    RegainPowerUnreported(usize),
     /// Nothing passes between the host and the other nodes.
     CutHost(usize),
     /// The server resets flows that it does not hold, instead of handing their packets back.
@@ -339,6 +343,9 @@
 
     fn mesh(&self, own: NodeAddress) -> Mesh {
         let mut mesh = Mesh::new(own);
+        // A control host has said who is there.
+        let answer = greeting(Boot::new(1), NodeRole::Control, None, None, Beside::default());
+        mesh.on_greeting(self.now, CONTROL_IP, answer);
         for agent in self.agents.iter().filter(|a| a.ip != own.ip) {
             let role = NodeRole::Agent;
             mesh.learn(self.now, NodeAddress { ip: agent.ip, role });
@@ -569,7 +576,7 @@
         };
         core.on_tick(now);
         let decisions = core.take_decisions();
-        let greetings = due_greetings(core.mesh_mut(), now, node.boot, None);
+        let greetings = due_greetings(core.mesh_mut(), now, node.boot, None, Beside::default());
         let from = node.ip;
         for (to, greeting) in greetings {
             self.greet(from, to, greeting, Vec::new());
@@ -606,11 +613,10 @@
     }
 
     fn denied(&mut self, to: Ipv4Addr, from: Ipv4Addr, denial: Denial) {
-        let now = self.now;
         if let Some(n) = self.agents.iter().position(|a| a.ip == to)
             && let Some(core) = &mut self.agents[n].core
         {
-            core.on_denials(now, from, [denial]);
+            core.on_denials(from, [denial]);
             self.act(n);
         }
     }
@@ -630,7 +636,8 @@
             return;
         };
         let report = core.report(now);
-        let greetings = due_greetings(core.mesh_mut(), now, node.boot, report.as_ref());
+        let beside = Beside::of(core, now);
+        let greetings = due_greetings(core.mesh_mut(), now, node.boot, report.as_ref(), beside);
         let from = node.ip;
         for (to, greeting) in greetings {
             self.greet(from, to, greeting, Vec::new());
@@ -662,9 +669,10 @@
         let actions = core.take_actions();
         let decisions = core.take_decisions();
         let report = core.report(now);
+        let beside = Beside::of(core, now);
         let boot = self.agents[n].boot;
         self.count(decisions);
-        let greeting = |heard| greeting(boot, NodeRole::Agent, heard, report.as_ref());
+        let greeting = |heard| greeting(boot, NodeRole::Agent, heard, report.as_ref(), beside);
         for action in actions {
             match action {
                 Action::Forward { to, trail, packet } => {
@@ -1115,6 +1123,13 @@
                 self.change(Change::StartAgent(n));
                 self.change(Change::StartServer(n));
             }
+            Change::RegainPowerUnreported(n) => {
+                self.change(Change::StartAgent(n));
+                let server = &mut self.servers[n];
+                server.crash();
+                server.life += 1;
+                server.is_up = true;
+            }
             Change::CutHost(n) => {
                 let own = agent_ip(n);
                 let others = (0..3).flat_map(|zone| self.ips_in(zone));
@@ -1166,11 +1181,28 @@
     }
 }
 
+/// What an agent says of its server's presence and start.
+#[derive(Clone, Copy, Default)]
+struct Beside {
+    is_vacant: bool,
+    is_young: bool,
+}
+
+impl Beside {
+    fn of(agent: &Agent, now: Instant) -> Self {
+        Self {
+            is_vacant: agent.is_vacant(now),
+            is_young: agent.is_young(now),
+        }
+    }
+}
+
 fn greeting(
     boot: Boot,
     role: NodeRole,
     heard: Option<Duration>,
     report: Option<&ServerReport>,
+    beside: Beside,
 ) -> Greeting {
     Greeting {
         boot,
@@ -1178,6 +1210,8 @@
         index: LogIndex::new(1),
         heard,
         report: report.cloned(),
+        is_vacant: beside.is_vacant,
+        is_young: beside.is_young,
     }
 }
 
@@ -1187,11 +1221,12 @@
     now: Instant,
     boot: Boot,
     report: Option<&ServerReport>,
+    beside: Beside,
 ) -> Vec<(Ipv4Addr, Greeting)> {
     let (role, due) = (mesh.own().role, mesh.due(now));
     let greetings = due.into_iter().map(|to| {
         let heard = mesh.heard_age(now, to.ip);
-        (to.ip, greeting(boot, role, heard, report))
+        (to.ip, greeting(boot, role, heard, report, beside))
     });
     greetings.collect()
 }
--- a/crates/wire/src/convert/forwarded.rs
+++ b/crates/wire/src/convert/forwarded.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dogwoodrill_core::forwarded::inquiry::Denial;
+use dogwoodrill_core::forwarded::inquiry::{Certainty, Denial};
 use dogwoodrill_core::forwarded::keepers::FlowPlace;
 use dogwoodrill_core::forwarded::mesh::{Boot, Greeting, NodeAddress, ServerReport};
 use dogwoodrill_core::forwarded::node::NodeRole;
@@ -55,6 +55,8 @@
             places: d.places.iter().map(Into::into).collect(),
             nodes: (!d.nodes.is_empty()).then(|| node_list(&d.nodes)),
             denials: d.denials.iter().map(Into::into).collect(),
+            vacant: greeting.is_vacant,
+            young: greeting.is_young,
         }
     }
 }
@@ -74,6 +76,8 @@
                 index: d.config_index.into(),
                 heard: d.heard_ms.map(|ms| Duration::from_millis(ms.into())),
                 report,
+                is_vacant: d.vacant,
+                is_young: d.young,
             },
             places: places.collect::<Result<_, _>>()?,
             nodes: d.nodes.map_or_else(Vec::new, addresses),
@@ -195,7 +199,7 @@
             service_ip: d.flow.service.ip().to_bits(),
             service_port: d.flow.service.port().into(),
             agents: d.agents.into(),
-            settled: d.is_settled,
+            certainty: wire::Certainty::from(d.certainty).into(),
         }
     }
 }
@@ -204,16 +208,37 @@
     type Error = ConvertError;
 
     fn try_from(d: wire::Denial) -> Result<Self, Self::Error> {
+        let certainty = d.certainty().into();
         let caller = (d.caller_ip, d.caller_port);
         let flow = flow(caller, (d.service_ip, d.service_port))?;
         Ok(Self {
             flow,
             agents: d.agents.into(),
-            is_settled: d.settled,
+            certainty,
         })
     }
 }
 
+impl From<Certainty> for wire::Certainty {
+    fn from(certainty: Certainty) -> Self {
+        match certainty {
+            Certainty::Unsettled => Self::Unspecified,
+            Certainty::AllFresh => Self::AllFresh,
+            Certainty::Settled => Self::Settled,
+        }
+    }
+}
+
+impl From<wire::Certainty> for Certainty {
+    fn from(certainty: wire::Certainty) -> Self {
+        match certainty {
+            wire::Certainty::Unspecified => Self::Unsettled,
+            wire::Certainty::AllFresh => Self::AllFresh,
+            wire::Certainty::Settled => Self::Settled,
+        }
+    }
+}
+
 fn flow(caller: (u32, u32), service: (u32, u32)) -> Result<FlowKey, ConvertError> {
     Ok(FlowKey {
         caller: end("caller port", caller.0, caller.1)?,
--- a/src/forwarded/agent.rs
+++ b/src/forwarded/agent.rs
@@ -19,6 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Format;
+use super::datagrams::Beside;
 use super::fetch::Fetched;
 use super::journal::{Event, Journal};
 use super::link::Link;
@@ -89,6 +90,7 @@
     to_keepers: BTreeMap<Ipv4Addr, Vec<FlowPlace>>,
     last_report: Option<ServerReport>,
     report_from: Instant,
+    started_at: Instant,
     said: mpsc::Receiver<Said>,
     handle: ServerHandle,
     ready: watch::Sender<bool>,
@@ -121,6 +123,7 @@
             to_keepers: BTreeMap::new(),
             last_report: None,
             report_from: now,
+            started_at: now,
             said,
             handle: ServerHandle {
                 tx,
@@ -201,13 +204,20 @@
         match said {
             Said::Report(statement, reply) => {
                 let subject = format!("{} {}", statement.id, statement.state);
+                let (sequence, cold) = (statement.sequence, statement.cold_remaining);
                 let outcome = self.agent.on_statement(now, statement);
                 if matches!(
                     outcome,
                     StatementOutcome::NewLife | StatementOutcome::Changed
                 ) {
-                    let event = Event::new("server reported").about(&subject).with(&outcome);
-                    self.link.journal.event(event);
+                    let up = now.saturating_duration_since(self.started_at);
+                    let detail = format!(
+                        "{outcome}, report {sequence}, cold for {} ms, agent up for {} ms",
+                        cold.as_millis(),
+                        up.as_millis()
+                    );
+                    let event = Event::new("server reported").about(&subject);
+                    self.link.journal.event(event.with(&detail));
                 }
                 if reply.send(outcome).is_err() {
                     let event = Event::new("report not answered");
@@ -246,6 +256,13 @@
         self.tell_of_change(now);
         let report = self.agent.report(now);
         let index = self.agent.map().index;
+        let beside = Beside {
+            is_vacant: self.agent.is_vacant(now),
+            is_young: self.agent.is_young(now),
+        };
+        if self.link.datagrams.set_beside(beside) {
+            self.agent.mesh_mut().greet_soon(now, now);
+        }
         self.link
             .datagrams
             .greet(now, self.agent.mesh_mut(), index, report.as_ref());
@@ -356,7 +373,7 @@
             let mesh = self.agent.mesh_mut();
             let news = self.link.on_datagram(now, from, datagram, mesh, own);
             self.agent.on_places(now, from, news.places);
-            self.agent.on_denials(now, from, news.denials);
+            self.agent.on_denials(from, news.denials);
         }
         self.act();
     }
--- a/src/forwarded/control.rs
+++ b/src/forwarded/control.rs
@@ -4,7 +4,7 @@
 //! which no operator looks after: the founders know each other from their settings, and a host with an
 //! empty disk asks to be taken in until the leader has a place for it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::hash::Hasher;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -61,7 +61,7 @@
 /// times as long as usual fit in.
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
 /// The same for hosts that all started at once.
-const FIRST_ELECTION_TIMEOUT: Duration = Duration::from_millis(100);
+const FIRST_ELECTION_TIMEOUT: Duration = Duration::from_millis(40);
 /// Time between heartbeats of a leader.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 /// Entries kept in memory behind the snapshot; each may be a whole configuration.
@@ -303,22 +303,40 @@
         }
     }
 
-    /// Asks each seed in turn; only the leader can take a host in.
+    /// Asks the seeds, and then whom they name, until one takes the host in. Only the leader can, and it need
+    /// not be among the seeds.
     async fn ask(&self, host: MemberId, seeds: &[NodeAddress]) {
-        for seed in seeds
-            .iter()
-            .filter(|s| SocketAddr::from((s.ip, self.own.address.port())) != self.own.address)
-        {
-            let address = SocketAddr::from((seed.ip, self.own.address.port()));
-            match timeout(JOIN_TIMEOUT, self.ask_one(address, host)).await {
-                Ok(Some(Answer::TakenIn(_))) => log::info!("taken in by {address}"),
-                Ok(Some(Answer::Refusal(refusal))) => log::debug!("{address}: {refusal}"),
-                Ok(None) | Err(_) => log::debug!("{address} did not answer"),
+        let port = self.own.address.port();
+        let seeds = seeds.iter().map(|s| SocketAddr::from((s.ip, port)));
+        let mut to_ask: VecDeque<_> = seeds.collect();
+        let mut asked = BTreeSet::from([self.own.address]);
+        while let Some(address) = to_ask.pop_front() {
+            if !asked.insert(address) {
+                continue;
             }
+            let Ok(Some(response)) = timeout(JOIN_TIMEOUT, self.ask_one(address, host)).await
+            else {
+                log::debug!("{address} did not answer");
+                continue;
+            };
+            match response.answer {
+                Some(Answer::TakenIn(_)) => {
+                    log::info!("taken in by {address}");
+                    return;
+                }
+                Some(Answer::Refusal(refusal)) => log::debug!("{address}: {refusal}"),
+                None => log::debug!("{address} did not say whether it takes the host in"),
+            }
+            let members = response.members.iter();
+            to_ask.extend(members.filter_map(|m| m.parse::<SocketAddr>().ok()));
         }
     }
 
-    async fn ask_one(&self, address: SocketAddr, host: MemberId) -> Option<Answer> {
+    async fn ask_one(
+        &self,
+        address: SocketAddr,
+        host: MemberId,
+    ) -> Option<consensus_wire::JoinResponse> {
         let member = Member {
             id: host,
             role: MemberRole::Learner,
@@ -332,7 +350,7 @@
         };
         let channel = transport::connect(&self.cx, address).await.ok()?;
         let answer = ConsensusClient::new(channel).join(request).await;
-        answer.ok()?.into_inner().answer
+        Some(answer.ok()?.into_inner())
     }
 }
 
--- a/src/forwarded/datagrams.rs
+++ b/src/forwarded/datagrams.rs
@@ -26,6 +26,16 @@
     port: u16,
     boot: Boot,
     own: NodeAddress,
+    beside: Beside,
+}
+
+/// What an agent says of its server's presence and start.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Beside {
+    /// No server is there.
+    pub is_vacant: bool,
+    /// The agent has just started, and the server is not known to be older.
+    pub is_young: bool,
 }
 
 /// Why a datagram was left out.
@@ -61,6 +71,7 @@
                 ip: settings.ip,
                 role: settings.role.role(),
             },
+            beside: Beside::default(),
         })
     }
 
@@ -69,6 +80,11 @@
         self.own
     }
 
+    /// Says that from now on with every message; true if it is news.
+    pub fn set_beside(&mut self, beside: Beside) -> bool {
+        std::mem::replace(&mut self.beside, beside) != beside
+    }
+
     /// Waits until something may have come.
     pub async fn readable(&self) -> std::io::Result<()> {
         self.socket.readable().await
@@ -116,6 +132,8 @@
             index,
             heard,
             report,
+            is_vacant: self.beside.is_vacant,
+            is_young: self.beside.is_young,
         }
     }
 
--- a/tests/testsuite/forwarded.rs
+++ b/tests/testsuite/forwarded.rs
@@ -73,6 +73,20 @@
     assert_eq!(put(&hosts, 5).await, 5);
 }
 
+/// The only seed of a wiped host does not lead, but names those who may.
+#[tokio::test]
+async fn a_joining_host_finds_a_leader_that_is_no_seed() {
+    let (ports, data, more) = (ports(), folders::<3>(), folders::<1>());
+    let (seeds, mut hosts) = found(7, ports, &data).await;
+    put(&hosts.iter().collect::<Vec<_>>(), 3).await;
+    let leader = leader_of(&hosts).await;
+    let (wiped, follower) = ((leader + 1) % 3, (leader + 2) % 3);
+    hosts.remove(wiped).kill().await;
+    let known = [seeds[wiped], seeds[follower]];
+    let joining = control(seeds[wiped], ports, &known, more[0].path(), false).await;
+    wait_for_vote(&joining, 3).await;
+}
+
 /// All processes end at once and come back with their disks.
 #[tokio::test]
 async fn what_was_accepted_is_there_after_all_hosts_restarted() {
--- a/tests/testsuite/forwarded/hosts.rs
+++ b/tests/testsuite/forwarded/hosts.rs
@@ -154,6 +154,11 @@
         drop(self.running.task.await);
     }
 
+    async fn leads(&self) -> bool {
+        let status = self.handle.status().await;
+        status.is_ok_and(|s| s.role == ControlRole::Leader)
+    }
+
     /// Whether it is one of `count` voters; it may hear of the voters before it is one.
     pub async fn votes_among(&self, count: usize) -> bool {
         let Ok(status) = self.handle.status().await else {
@@ -217,6 +222,21 @@
         .expect("the host got no vote");
 }
 
+/// The position of the host that leads.
+pub async fn leader_of(hosts: &[ControlHost]) -> usize {
+    let found = async {
+        loop {
+            for (n, host) in hosts.iter().enumerate() {
+                if host.leads().await {
+                    return n;
+                }
+            }
+            sleep(POLL_PAUSE).await;
+        }
+    };
+    timeout(HANG_GUARD, found).await.expect("no host leads")
+}
+
 pub fn folders<const N: usize>() -> [TempDir; N] {
     std::array::from_fn(|_| tempfile::tempdir().unwrap())
 }
