Elect and connect as soon as hosts are up, and know what ended with the power

Campaigns in vain, held while too few hosts were there, had made the next ones wait up to 640 ms; and connections dialled to hosts that had no power yet waited a second for the next packet. Meanwhile 176,000 searched packets came back from servers: agents with a server's fourth report took it for older than themselves, and five agents that were taken away within a second of their return were waited for.

Ruled out: a slow disk (0.5 ms a sync), the search itself (1,048 flows were found nowhere until an agent fell silent).

Change: - only votes that a majority would have supported make the next campaign wait longer; - a dial that hangs is tried anew after 100, 200, 400 ms; - a server that is cold when first heard has not outlived its agent; - once all have begun together, an agent that never had a server is not waited for; most must have heard their servers for that.

--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -61,7 +61,7 @@
     leader: Option<MemberId>,
     /// Whether a leader was known since the member started.
     has_known_leader: bool,
-    /// Campaigns before that.
+    /// Campaigns before that in which a majority would have supported it.
     first_campaigns: u32,
     /// When to campaign.
     election_at: Instant,
@@ -354,7 +354,7 @@
         let shortest = if self.has_known_leader {
             usual
         } else {
-            // Campaigns that follow each other faster than votes reach the disk end one another.
+            // Votes that come faster than they reach the disk end one another. A pre-vote needs no disk.
             let doubled = 1_u32.checked_shl(self.first_campaigns).unwrap_or(u32::MAX);
             usual.min(self.options.first_election_timeout.saturating_mul(doubled))
         };
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -72,7 +72,6 @@
     }
 
     pub(super) fn campaign(&mut self, now: Instant) {
-        self.first_campaigns = self.first_campaigns.saturating_add(1);
         self.reset_election(now);
         if !self.membership().is_voter(self.id) {
             return;
@@ -84,6 +83,7 @@
     fn ask_for_votes(&mut self, now: Instant, kind: VoteKind) {
         let term = self.term().next();
         if kind == VoteKind::Vote {
+            self.first_campaigns = self.first_campaigns.saturating_add(1);
             self.set_hard_state(HardState {
                 term,
                 voted_for: Some(self.id),
--- a/crates/core/src/forwarded/agent.rs
+++ b/crates/core/src/forwarded/agent.rs
@@ -24,7 +24,7 @@
 
 use super::decision::{Decision, Reason, Step};
 use super::gate::ColdBudget;
-use super::inquiry::{Certainty, Denial, Inquiries};
+use super::inquiry::{Denial, Inquiries};
 use super::keepers::{FlowDirectory, FlowPlace};
 use super::mesh::{Mesh, ServerReport};
 use super::packet::{Flags, FlowKey, Header, Purpose, Trail};
@@ -152,7 +152,8 @@
     postponed: Vec<(Ipv4Addr, Header, Bytes)>,
     /// Flows that were denied to others before the agent was settled.
     uncertain: Vec<(Ipv4Addr, FlowKey)>,
-    certainty_told: Certainty,
+    /// The agent and all others have just started.
+    has_begun_with_all: bool,
     unanswered: VecDeque<(Instant, FlowKey)>,
     expected: VecDeque<(Instant, FlowKey)>,
     retold_version: u64,
@@ -194,7 +195,7 @@
             handed_back: HashMap::new(),
             postponed: Vec::new(),
             uncertain: Vec::new(),
-            certainty_told: Certainty::Unsettled,
+            has_begun_with_all: false,
             unanswered: VecDeque::new(),
             expected: VecDeque::new(),
             retold_version: 0,
--- a/crates/core/src/forwarded/agent/location.rs
+++ b/crates/core/src/forwarded/agent/location.rs
@@ -7,7 +7,7 @@
 
 use super::{Action, Agent, Fate, Flow, HandedBack, IDLE_TTL};
 use crate::forwarded::decision::{Decision, Step};
-use crate::forwarded::inquiry::{Certainty, Denial};
+use crate::forwarded::inquiry::Denial;
 use crate::forwarded::keepers::{FlowPlace, Keepers};
 use crate::forwarded::node::NodeRole;
 use crate::forwarded::packet::{FlowKey, Header, Purpose, Trail};
@@ -21,7 +21,7 @@
 const YOUNG_FOR: Duration = Duration::from_secs(2);
 /// Searches that wait until it is known who else has just started; bounds memory.
 const MAX_POSTPONED: usize = 1024;
-/// Denials that are repeated once the agent is surer; bounds memory.
+/// Denials that are repeated once the agent knows all others; bounds memory.
 const MAX_UNCERTAIN: usize = 1024;
 /// Flows that the server handed back and that are remembered; bounds memory.
 const MAX_HANDED_BACK: usize = 4096;
@@ -185,7 +185,9 @@
     /// A server that was first heard by its second or third report may have got flows from an agent before
     /// this one, but not if everything has just started.
     pub(super) fn learn_from_others(&mut self, now: Instant) {
-        if self.is_young(now) && self.mesh.are_all_young(now) {
+        let is_settled = self.is_settled(now);
+        if !is_settled && self.is_young(now) && self.mesh.have_all_begun(now) {
+            self.has_begun_with_all = true;
             self.server.set_seen_whole();
         }
         if !self.postponed.is_empty() && (self.mesh.is_quiet(now) || !self.is_young(now)) {
@@ -196,35 +198,28 @@
                 }
             }
         }
-        let certainty = self.certainty(now);
-        if certainty > self.certainty_told {
-            self.certainty_told = certainty;
+        if self.is_settled(now) {
             for (searcher, flow) in std::mem::take(&mut self.uncertain) {
                 self.deny(now, searcher, flow);
             }
         }
     }
 
-    fn certainty(&self, now: Instant) -> Certainty {
-        if now >= self.started_at + SETTLED_AFTER {
-            Certainty::Settled
-        } else if self.mesh.is_quiet(now) && self.is_young(now) {
-            Certainty::AllFresh
-        } else {
-            Certainty::Unsettled
-        }
+    /// Whether the agent knows all agents.
+    fn is_settled(&self, now: Instant) -> bool {
+        self.has_begun_with_all || now >= self.started_at + SETTLED_AFTER
     }
 
     /// Tells `searcher` that the flow is not here.
     pub(super) fn deny(&mut self, now: Instant, searcher: Ipv4Addr, flow: FlowKey) {
-        let certainty = self.certainty(now);
-        if certainty < Certainty::Settled && self.uncertain.len() < MAX_UNCERTAIN {
+        let is_settled = self.is_settled(now);
+        if !is_settled && self.uncertain.len() < MAX_UNCERTAIN {
             self.uncertain.push((searcher, flow));
         }
         let denial = Denial {
             flow,
             agents: self.mesh.agent_set(),
-            certainty,
+            is_settled,
         };
         if searcher == self.mesh.own().ip {
             self.on_denials(searcher, [denial]);
@@ -236,11 +231,7 @@
 
     /// `from` says which of the flows that are searched for are not at it. A flow that all have denied
     /// is nowhere, and its caller is told.
-    pub fn on_denials(
-        &mut self,
-        from: Ipv4Addr,
-        denials: impl IntoIterator<Item = Denial>,
-    ) {
+    pub fn on_denials(&mut self, from: Ipv4Addr, denials: impl IntoIterator<Item = Denial>) {
         let mut denials = denials.into_iter().peekable();
         if denials.peek().is_none() {
             return;
--- a/crates/core/src/forwarded/inquiry.rs
+++ b/crates/core/src/forwarded/inquiry.rs
@@ -8,7 +8,7 @@
 //! lately, is not passed over. In a large fleet some agent is always silent; one that said before that no
 //! server is beside it, and one that had denied the flow, are not waited for.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
@@ -26,18 +26,6 @@
 #[display("{_0:016x}")]
 pub struct AgentSet(u64);
 
-/// How sure an agent is that it knows all agents.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Certainty {
-    /// More may come.
-    Unsettled,
-    /// Everything has just started and nobody has come for a while. Not said beside a server that outlived
-    /// the agent before: then other servers may have done so, whose agents come later.
-    AllFresh,
-    /// It has been there for long.
-    Settled,
-}
-
 /// An agent says that its backend server does not hold a flow.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Denial {
@@ -45,8 +33,8 @@
     pub flow: FlowKey,
     /// The agents that it knows of.
     pub agents: AgentSet,
-    /// How sure it is that these are all.
-    pub certainty: Certainty,
+    /// Whether it is sure that these are all: it has been there for long, or all have begun together.
+    pub is_settled: bool,
 }
 
 #[derive(Debug)]
@@ -54,7 +42,8 @@
     /// What the caller expects next.
     seq: u32,
     agents: AgentSet,
-    denied: BTreeMap<Ipv4Addr, Certainty>,
+    denied: BTreeSet<Ipv4Addr>,
+    is_settled: bool,
     until: Instant,
 }
 
@@ -64,16 +53,9 @@
         if self.agents != agents {
             self.agents = agents;
             self.denied.clear();
+            self.is_settled = false;
         }
     }
-
-    /// Whether those who denied the flow are sure to know all agents: one of them for itself, or all of them
-    /// together.
-    fn is_certain(&self) -> bool {
-        let least = self.denied.values().min();
-        let most = self.denied.values().max();
-        most == Some(&Certainty::Settled) || least >= Some(&Certainty::AllFresh)
-    }
 }
 
 /// Flows that an agent asks the others about.
@@ -91,7 +73,8 @@
         let inquiry = self.open.entry(flow).or_insert_with(|| Inquiry {
             seq,
             agents,
-            denied: BTreeMap::new(),
+            denied: BTreeSet::new(),
+            is_settled: false,
             until: now,
         });
         inquiry.settle_on(agents);
@@ -109,8 +92,9 @@
     ) -> Option<u32> {
         let inquiry = self.open.get_mut(&denial.flow)?;
         inquiry.settle_on(denial.agents);
-        inquiry.denied.insert(from, denial.certainty);
-        if !inquiry.is_certain() || !agents.all(|ip| inquiry.denied.contains_key(&ip)) {
+        inquiry.denied.insert(from);
+        inquiry.is_settled |= denial.is_settled;
+        if !inquiry.is_settled || !agents.all(|ip| inquiry.denied.contains(&ip)) {
             return None;
         }
         self.open.remove(&denial.flow).map(|inquiry| inquiry.seq)
--- a/crates/core/src/forwarded/mesh.rs
+++ b/crates/core/src/forwarded/mesh.rs
@@ -128,7 +128,7 @@
     pub index: LogIndex,
     first_heard_at: Option<Instant>,
     heard_at: Option<Instant>,
-    known_since: Instant,
+    first_listed_at: Instant,
     listed_at: Instant,
     /// When it last heard this node, as far as it said.
     heard_us_at: Option<Instant>,
@@ -139,6 +139,8 @@
     pub is_vacant: bool,
     /// Whether it said last that it has just started.
     pub is_young: bool,
+    /// Whether its life began when everything had just started: nothing from before can be open beside it.
+    began_with_all: bool,
 }
 
 impl Known {
@@ -207,13 +209,14 @@
             index: LogIndex::default(),
             first_heard_at: None,
             heard_at: None,
-            known_since: now,
+            first_listed_at: now,
             listed_at: now,
             heard_us_at: None,
             greet_at: now,
             report: None,
             is_vacant: false,
             is_young: false,
+            began_with_all: false,
         });
         known.listed_at = now;
     }
@@ -241,6 +244,7 @@
         if news.restarted || !was_there {
             known.first_heard_at = Some(now);
             known.heard_us_at = None;
+            known.began_with_all &= !news.restarted;
         }
         known.role = role;
         known.boot = greeting.boot;
@@ -281,7 +285,7 @@
         let due = due.filter(|(_, k)| greeted(k.role) && k.greet_at <= now);
         due.map(|(ip, known)| {
             let calls = known.role == NodeRole::Control && !is_answered;
-            let is_early = now < known.known_since + FIRST_CONTACT;
+            let is_early = now < known.first_listed_at + FIRST_CONTACT;
             known.greet_at = if calls && is_early {
                 call_again_at
             } else {
@@ -389,9 +393,11 @@
     }
 
     /// Agents that must deny a flow for it to be nowhere, this one among them: all beside which it can be
-    /// open. One that is silent is passed over only if it said before that no server was beside it.
+    /// open. One that is silent is passed over only if it said before that no server was beside it, or had
+    /// begun with all others and never had a server to give flows to.
     pub fn deniers(&self) -> impl Iterator<Item = Ipv4Addr> {
-        let others = self.agents().filter(|(_, k)| !k.is_vacant);
+        let has_none = |k: &Known| k.is_vacant || (k.began_with_all && k.report.is_none());
+        let others = self.agents().filter(move |(_, k)| !has_none(k));
         others.map(|(ip, _)| ip).chain([self.own.ip])
     }
 
@@ -404,11 +410,21 @@
         now >= newest.max(answered_at) + QUIET_SPAN
     }
 
-    /// Whether all agents have just started and nobody has come since, as after a loss of power everywhere.
-    pub fn are_all_young(&self, now: Instant) -> bool {
-        let mut agents = self.agents();
+    /// Whether all agents have just started, most of them beside servers that have, and nobody has come
+    /// since, as after a loss of power everywhere. What was open before is then over. Where servers outlive
+    /// their agents, those that have not reported yet would be taken for new; hence most.
+    pub fn have_all_begun(&mut self, now: Instant) -> bool {
         let is_young = |k: &Known| k.is_vacant || (k.is_young && self.is_heard(now, k));
-        self.is_quiet(now) && agents.all(|(_, k)| is_young(k))
+        let are_young = self.agents().all(|(_, k)| is_young(k));
+        let served = self.agents().filter(|(_, k)| k.report.is_some());
+        let are_most_served = served.count() * 2 > self.agents().count();
+        if !are_young || !are_most_served || !self.is_quiet(now) {
+            return false;
+        }
+        for known in self.nodes.values_mut() {
+            known.began_with_all = known.role == NodeRole::Agent;
+        }
+        true
     }
 
     /// Whether packets get through to a node, as far as it said. One that was just heard for the
--- a/crates/core/src/forwarded/server.rs
+++ b/crates/core/src/forwarded/server.rs
@@ -89,6 +89,8 @@
     cold_until: Instant,
     is_over: bool,
     begun: Begun,
+    /// Whether it was cold when it was first heard: it had started a few seconds before at most.
+    was_cold: bool,
 }
 
 /// When a server's life began, beside the agent's.
@@ -170,15 +172,17 @@
     pub fn on_statement(&mut self, now: Instant, statement: ServerStatement) -> StatementOutcome {
         let cold_until = now + statement.cold_remaining;
         let first = Begun::by_first(statement.sequence.into());
-        let fresh = |statement, begun| Current {
+        let is_cold = cold_until > now;
+        let fresh = |statement, begun, was_cold| Current {
             statement,
             heard_at: now,
             cold_until,
             is_over: false,
             begun,
+            was_cold,
         };
         let Some(current) = &mut self.current else {
-            self.current = Some(fresh(statement, first));
+            self.current = Some(fresh(statement, first, is_cold));
             return StatementOutcome::NewLife;
         };
         let known = &current.statement;
@@ -187,7 +191,7 @@
                 return StatementOutcome::Stale;
             }
             let changed = known.state != statement.state || known.slots != statement.slots;
-            *current = fresh(statement, current.begun);
+            *current = fresh(statement, current.begun, current.was_cold);
             return if changed {
                 StatementOutcome::Changed
             } else {
@@ -197,7 +201,7 @@
         if statement.born < known.born {
             return StatementOutcome::Stale;
         }
-        self.current = Some(fresh(statement, Begun::Seen));
+        self.current = Some(fresh(statement, Begun::Seen, is_cold));
         self.life = Life(self.life.0 + 1);
         self.trial_at = None;
         StatementOutcome::NewLife
@@ -270,15 +274,16 @@
         current.is_none_or(|c| c.begun == Begun::Before && !c.is_over)
     }
 
-    /// Whether the server had been there for a while when the agent first heard it.
+    /// Whether the server had been there for a while when the agent first heard it. One that is cold has
+    /// not, however often it had tried to report.
     pub fn has_outlived_agent(&self) -> bool {
         let current = self.current.as_ref();
-        current.is_some_and(|c| c.begun == Begun::Before)
+        current.is_some_and(|c| c.begun == Begun::Before && !c.was_cold)
     }
 
     /// Every flow of the present life is known to have passed by the agent.
     pub fn set_seen_whole(&mut self) {
-        if let Some(current) = self.current.as_mut().filter(|c| c.begun == Begun::Beside) {
+        if let Some(current) = &mut self.current {
             current.begun = Begun::Seen;
         }
     }
--- a/crates/core/tests/testsuite/forwarded/servers.rs
+++ b/crates/core/tests/testsuite/forwarded/servers.rs
@@ -126,3 +126,25 @@
     server.on_statement(now + INTERVAL * 2, statement("a", 10, 5));
     assert!(!server.is_missing(now + INTERVAL * 9, now));
 }
+
+/// A server that is cold has just started, though its first reports found no agent.
+#[rstest]
+#[case::first(1, true, false)]
+#[case::cold(5, true, false)]
+#[case::warm(5, false, true)]
+fn a_server_that_is_cold_has_not_outlived_an_agent(
+    #[case] sequence: u64,
+    #[case] is_cold: bool,
+    #[case] expected: bool,
+) {
+    let now = Instant::now();
+    let mut server = Server::new(now, INTERVAL);
+    let cold_remaining = INTERVAL * u32::from(is_cold);
+    let first = ServerStatement {
+        cold_remaining,
+        ..statement("a", 10, sequence)
+    };
+    server.on_statement(now, first);
+    server.on_statement(now + INTERVAL, statement("a", 10, sequence + 1));
+    assert_eq!(server.has_outlived_agent(), expected);
+}
--- a/crates/wire/src/convert/forwarded.rs
+++ b/crates/wire/src/convert/forwarded.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dogwoodrill_core::forwarded::inquiry::{Certainty, Denial};
+use dogwoodrill_core::forwarded::inquiry::Denial;
 use dogwoodrill_core::forwarded::keepers::FlowPlace;
 use dogwoodrill_core::forwarded::mesh::{Boot, Greeting, NodeAddress, ServerReport};
 use dogwoodrill_core::forwarded::node::NodeRole;
@@ -199,7 +199,7 @@
             service_ip: d.flow.service.ip().to_bits(),
             service_port: d.flow.service.port().into(),
             agents: d.agents.into(),
-            certainty: wire::Certainty::from(d.certainty).into(),
+            settled: d.is_settled,
         }
     }
 }
@@ -208,37 +208,16 @@
     type Error = ConvertError;
 
     fn try_from(d: wire::Denial) -> Result<Self, Self::Error> {
-        let certainty = d.certainty().into();
         let caller = (d.caller_ip, d.caller_port);
         let flow = flow(caller, (d.service_ip, d.service_port))?;
         Ok(Self {
             flow,
             agents: d.agents.into(),
-            certainty,
+            is_settled: d.settled,
         })
     }
 }
 
-impl From<Certainty> for wire::Certainty {
-    fn from(certainty: Certainty) -> Self {
-        match certainty {
-            Certainty::Unsettled => Self::Unspecified,
-            Certainty::AllFresh => Self::AllFresh,
-            Certainty::Settled => Self::Settled,
-        }
-    }
-}
-
-impl From<wire::Certainty> for Certainty {
-    fn from(certainty: wire::Certainty) -> Self {
-        match certainty {
-            wire::Certainty::Unspecified => Self::Unsettled,
-            wire::Certainty::AllFresh => Self::AllFresh,
-            wire::Certainty::Settled => Self::Settled,
-        }
-    }
-}
-
 fn flow(caller: (u32, u32), service: (u32, u32)) -> Result<FlowKey, ConvertError> {
     Ok(FlowKey {
         caller: end("caller port", caller.0, caller.1)?,
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -31,6 +31,8 @@
 
 /// Time a connection may take to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for the first attempt: several round trips between availability zones.
+const FIRST_DIAL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Handshakes of one listener that may be under way.
 const MAX_HANDSHAKES: usize = 256;
 /// Pause after the host refused to accept, for instance for want of file descriptors.
@@ -80,8 +82,23 @@
     }
 }
 
+/// Tries `attempt` anew when it hangs, with more time each time. The first packet to a host without power is lost, and
+/// the kernel sends the next one only after a second; a host that has come up answers a new one at once.
+pub async fn dial<T, F>(attempt: impl Fn() -> F) -> io::Result<T>
+where
+    F: Future<Output = io::Result<T>>,
+{
+    let mut wait = FIRST_DIAL_TIMEOUT;
+    loop {
+        if let Ok(dialled) = timeout(wait, attempt()).await {
+            return dialled;
+        }
+        wait *= 2;
+    }
+}
+
 async fn open(security: Security, address: SocketAddr) -> io::Result<TokioIo<PeerStream>> {
-    let stream = TcpStream::connect(address).await?;
+    let stream = dial(|| TcpStream::connect(address)).await?;
     stream.set_nodelay(true)?;
     let Security::Mtls(credentials) = security else {
         return Ok(TokioIo::new(PeerStream::Plaintext(stream)));
--- a/tests/testsuite/transport.rs
+++ b/tests/testsuite/transport.rs
@@ -1,13 +1,15 @@
 //! Mutual TLS between processes: who gets through, with which role.
 
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 
 use dogwoodrill::context::Cx;
 use dogwoodrill::credentials::{CredentialFiles, Credentials, Security};
 use dogwoodrill::ops::certs_init;
-use dogwoodrill::transport::{self, Role, require_role};
+use dogwoodrill::transport::{self, Role, dial, require_role};
 use dogwoodrill_core::flow::ClusterKey;
 use dogwoodrill_wire::proto::spread::spread_client::SpreadClient;
 use dogwoodrill_wire::proto::spread::spread_server::{Spread, SpreadServer};
@@ -16,6 +18,7 @@
 use rstest::rstest;
 use tempfile::TempDir;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 use tokio_stream::Empty;
 use tokio_util::sync::{CancellationToken, DropGuard};
 use tonic::service::Routes;
@@ -173,3 +176,23 @@
     credentials.reload().unwrap_err();
     assert_eq!(outcome(&operator, address).await, "through");
 }
+
+/// A host comes up while it is being dialled: it is reached by the next attempt, not by the one that hangs.
+/// A host that refuses is not dialled again.
+#[tokio::test(start_paused = true)]
+async fn a_dial_that_hangs_is_tried_anew() {
+    let start = Instant::now();
+    let up_at = start + Duration::from_millis(250);
+    let attempt = || async {
+        if Instant::now() < up_at {
+            std::future::pending::<()>().await;
+        }
+        Ok(())
+    };
+    dial(attempt).await.unwrap();
+    assert_eq!(start.elapsed(), Duration::from_millis(300));
+    let refused = || async { Err::<(), _>(io::Error::from(ErrorKind::ConnectionRefused)) };
+    let start = Instant::now();
+    assert!(dial(refused).await.is_err());
+    assert_eq!(start.elapsed(), Duration::ZERO);
+}
