Search beside a server that has not reported without waiting

Cause, seen on reading the change: an agent that had just started held searches back until it knew who else had, also while its server had not reported.

Change: searches wait only beside a server that has reported and has just started.

Test: a_search_waits_only_beside_a_server_that_has_just_started.

--- a/crates/consensus/src/options.rs
+++ b/crates/consensus/src/options.rs
@@ -10,8 +10,8 @@
     pub election_timeout: Duration,
     /// The same until the member has first known a leader since it started. Hosts that all start at
     /// once need not wait for a leader that cannot be there; one that starts alone is told by the
-    /// others in the pre-vote that there is one. It doubles with each vote
-    /// that a majority would have supported and that came to nothing, up to the usual time.
+    /// others in the pre-vote that there is one. It doubles, up to the usual time, with each vote that a
+    /// majority would have supported and that came to nothing.
     pub first_election_timeout: Duration,
     /// Time between heartbeats of a leader.
     pub heartbeat_interval: Duration,
--- a/crates/core/src/forwarded/agent.rs
+++ b/crates/core/src/forwarded/agent.rs
@@ -147,6 +147,7 @@
     redirects: HashMap<FlowKey, Redirect>,
     directory: FlowDirectory,
     inquiries: Inquiries,
+    /// Flows that the server has shown not to hold.
     handed_back: HashMap<FlowKey, HandedBack>,
     /// Searches that wait until it is known who else has just started.
     postponed: Vec<(Ipv4Addr, Header, Bytes)>,
--- a/crates/core/src/forwarded/agent/location.rs
+++ b/crates/core/src/forwarded/agent/location.rs
@@ -17,7 +17,7 @@
 /// Time after its start in which an agent may not know all others: those that started with it may not have
 /// greeted it yet.
 const SETTLED_AFTER: Duration = Duration::from_secs(1);
-/// Time after its start for which an agent is young: hosts that get power at the same time start within it.
+/// Time after its start for which an agent is young; hosts that get power at the same time start within it.
 const YOUNG_FOR: Duration = Duration::from_secs(2);
 /// Searches that wait until it is known who else has just started; bounds memory.
 const MAX_POSTPONED: usize = 1024;
@@ -120,7 +120,8 @@
     }
 
     /// `searcher` looks for a flow that is not known here. What the agent cannot deny itself it leaves to
-    /// the server, which hands back what it does not hold. A young agent first waits for who else is young.
+    /// the server, which hands back what it does not hold. Beside a server that has just started it first waits
+    /// for whether all have.
     fn on_search(
         &mut self,
         now: Instant,
@@ -133,7 +134,9 @@
             self.deny(now, searcher, key);
             return Fate::Drop;
         }
-        if self.is_young(now) && !self.mesh.is_quiet(now) && self.postponed.len() < MAX_POSTPONED {
+        let is_beside_young = self.server.statement().is_some() && self.is_young(now);
+        let may_wait = self.postponed.len() < MAX_POSTPONED;
+        if is_beside_young && !self.mesh.is_quiet(now) && may_wait {
             let packet = Bytes::copy_from_slice(packet);
             self.postponed.push((searcher, *header, packet));
             return Fate::Drop;
@@ -255,8 +258,8 @@
 
     /// Whether the flow may be open at the server though the agent, which started later, does not know it.
     fn may_hold_unknown(&self, now: Instant, key: FlowKey) -> bool {
-        let is_young = now < self.started_at + self.max_flow_age;
-        self.server.is_older() && is_young && !self.has_handed_back(key)
+        let may_be_older = now < self.started_at + self.max_flow_age;
+        self.server.is_older() && may_be_older && !self.has_handed_back(key)
     }
 
     /// A flow that others say is here. An agent that started lately leaves it to the server, which
--- a/crates/core/tests/testsuite/forwarded/servers.rs
+++ b/crates/core/tests/testsuite/forwarded/servers.rs
@@ -1,7 +1,12 @@
 //! One backend server as its agent knows it: lives, reports and silence.
 
+use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
+use dogwoodrill_core::forwarded::agent::{Agent, Fate};
+use dogwoodrill_core::forwarded::mesh::{Mesh, NodeAddress};
+use dogwoodrill_core::forwarded::node::NodeRole;
+use dogwoodrill_core::forwarded::packet::{Flags, Header, Purpose, Trail};
 use dogwoodrill_core::forwarded::server::{
     Closed, Server, ServerState, ServerStatement, StatementOutcome,
 };
@@ -148,3 +153,40 @@
     server.on_statement(now + INTERVAL, statement("a", 10, sequence + 1));
     assert_eq!(server.has_outlived_agent(), expected);
 }
+
+/// A flow that is searched for after agents have restarted may be open at a server that outlived them, and its
+/// caller waits. Only beside a server that has just started too is there time to ask who else has.
+#[rstest]
+#[case::not_reported_yet(None, Fate::Deliver)]
+#[case::outlived_the_agent(Some((9, 0)), Fate::Deliver)]
+#[case::started_a_moment_before(Some((2, 2)), Fate::Drop)]
+fn a_search_waits_only_beside_a_server_that_has_just_started(
+    #[case] report: Option<(u64, u32)>,
+    #[case] expected: Fate,
+) {
+    let now = Instant::now();
+    let own = NodeAddress {
+        ip: Ipv4Addr::new(10, 0, 0, 1),
+        role: NodeRole::Agent,
+    };
+    let mut agent = Agent::new(now, Mesh::new(own), INTERVAL, INTERVAL * 60, 1);
+    if let Some((sequence, cold_seconds)) = report {
+        let first = ServerStatement {
+            cold_remaining: Duration::from_secs(1) * cold_seconds,
+            ..statement("a", 10, sequence)
+        };
+        agent.on_statement(now, first);
+    }
+    let searcher = Ipv4Addr::new(10, 0, 0, 2);
+    let header = Header {
+        source: "100.64.0.7:40001".parse().unwrap(),
+        target: "198.18.0.1:443".parse().unwrap(),
+        flags: Flags::ACK,
+        seq: 101,
+        ack: 5001,
+        len: 5,
+        trail: Trail::from_balancer(searcher, Purpose::Search),
+    };
+    let fate = agent.on_caller_packet(now, searcher, &header, b"packet");
+    assert_eq!(fate, expected);
+}
