--- a/crates/core/src/forwarded/agent/location.rs
+++ b/crates/core/src/forwarded/agent/location.rs
@@ -185,6 +185,11 @@
         now < self.started_at + YOUNG_FOR && !self.server.has_outlived_agent()
     }
 
+    /// Whether the agent and all others have begun together, so that nothing from before is open.
+    pub const fn has_begun_with_all(&self) -> bool {
+        self.has_begun_with_all
+    }
+
     /// A server that was first heard by its second or third report may have got flows from an agent before
     /// this one, but not if everything has just started.
     pub(super) fn learn_from_others(&mut self, now: Instant) {
--- a/src/forwarded/agent.rs
+++ b/src/forwarded/agent.rs
@@ -91,6 +91,8 @@
     last_report: Option<ServerReport>,
     report_from: Instant,
     started_at: Instant,
+    /// The log has that all agents began together.
+    has_said_begun: bool,
     said: mpsc::Receiver<Said>,
     handle: ServerHandle,
     ready: watch::Sender<bool>,
@@ -124,6 +126,7 @@
             last_report: None,
             report_from: now,
             started_at: now,
+            has_said_begun: false,
             said,
             handle: ServerHandle {
                 tx,
@@ -261,8 +264,16 @@
             is_young: self.agent.is_young(now),
         };
         if self.link.datagrams.set_beside(beside) {
+            let event = Event::new("tells of its start").with(&beside);
+            self.link.journal.event(event);
             self.agent.mesh_mut().greet_soon(now, now);
         }
+        if self.agent.has_begun_with_all() && !self.has_said_begun {
+            self.has_said_begun = true;
+            let event = Event::new("all began together");
+            let detail = "nothing from before is open";
+            self.link.journal.event(event.with(&detail));
+        }
         self.link
             .datagrams
             .greet(now, self.agent.mesh_mut(), index, report.as_ref());
--- a/src/forwarded/datagrams.rs
+++ b/src/forwarded/datagrams.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
+use derive_more::Display;
 use dogwoodrill_core::forwarded::keepers::FlowPlace;
 use dogwoodrill_core::forwarded::mesh::{Boot, Greeting, Mesh, NodeAddress, ServerReport};
 use dogwoodrill_core::forwarded::node::NodeSettings;
@@ -30,7 +31,8 @@
 }
 
 /// What an agent says of its server's presence and start.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
+#[display("vacant {is_vacant}, young {is_young}")]
 pub struct Beside {
     /// No server is there.
     pub is_vacant: bool,
