Use what was there: one type, one call and one test body in place of copies

No change of behaviour on the wire between nodes that forward, or of any bound or assertion. - What an agent says of its server's presence and start was two flags in three structs and a copy of them in the tests: now mesh::Beside, made by Agent::beside. - A host that wants to be taken in learned the members from a field that had been added to the answer for it, with addresses that were dropped in silence if they could not be read. It asks by the call that was there, Identify, after a refusal; the field and the look-up at each join are gone. This is one more round trip for a refused host. - The agent's driver kept its start and whether a line was written; the first is asked of the agent, the second seen from before to after the tick. - Whether the agent is older than any flow stood twice, a power of two was spelled out, and Mesh::have_all_begun, which also notes it, is note_common_start. - Tests: a loss of all power is written once, as are the two that differ only in times.

--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -355,8 +355,8 @@
             usual
         } else {
             // Votes that come faster than they reach the disk end one another. A pre-vote needs no disk.
-            let doubled = 1_u32.checked_shl(self.first_campaigns).unwrap_or(u32::MAX);
-            usual.min(self.options.first_election_timeout.saturating_mul(doubled))
+            let times = 2_u32.saturating_pow(self.first_campaigns);
+            usual.min(self.options.first_election_timeout.saturating_mul(times))
         };
         let spread = self.rng.random_range(0..=shortest.as_micros());
         let spread = u64::try_from(spread).unwrap_or(u64::MAX);
--- a/crates/core/benches/forwarded.rs
+++ b/crates/core/benches/forwarded.rs
@@ -7,7 +7,7 @@
 use criterion::{BatchSize, BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
 use dogwoodrill_core::forwarded::balancer::Balancer;
 use dogwoodrill_core::forwarded::keepers::FlowPlace;
-use dogwoodrill_core::forwarded::mesh::{Boot, Greeting, Mesh, NodeAddress, ServerReport};
+use dogwoodrill_core::forwarded::mesh::{Beside, Boot, Greeting, Mesh, NodeAddress, ServerReport};
 use dogwoodrill_core::forwarded::node::NodeRole;
 use dogwoodrill_core::forwarded::packet::{Flags, Header, Purpose, Trail};
 use dogwoodrill_core::ids::LogIndex;
@@ -49,8 +49,7 @@
                 flows: 0,
                 slots: 2,
             }),
-            is_vacant: false,
-            is_young: false,
+            beside: Beside::default(),
         };
         mesh.on_greeting(now, agent(n), greeting);
     }
--- a/crates/core/src/forwarded/agent.rs
+++ b/crates/core/src/forwarded/agent.rs
@@ -210,6 +210,11 @@
         }
     }
 
+    /// When the agent started.
+    pub const fn started_at(&self) -> Instant {
+        self.started_at
+    }
+
     /// What is known of the other nodes.
     pub const fn mesh(&self) -> &Mesh {
         &self.mesh
--- a/crates/core/src/forwarded/agent/location.rs
+++ b/crates/core/src/forwarded/agent/location.rs
@@ -9,6 +9,7 @@
 use crate::forwarded::decision::{Decision, Step};
 use crate::forwarded::inquiry::Denial;
 use crate::forwarded::keepers::{FlowPlace, Keepers};
+use crate::forwarded::mesh::Beside;
 use crate::forwarded::node::NodeRole;
 use crate::forwarded::packet::{FlowKey, Header, Purpose, Trail};
 
@@ -149,8 +150,12 @@
 
     /// Whether the agent has seen every flow that can be open at its server.
     fn knows_all_flows(&self, now: Instant) -> bool {
-        let is_old = now >= self.started_at + self.max_flow_age;
-        self.server.is_seen_whole() || self.has_ended() || is_old
+        self.server.is_seen_whole() || self.has_ended() || self.is_older_than_flows(now)
+    }
+
+    /// Whether every flow from before the agent's start is past its age.
+    fn is_older_than_flows(&self, now: Instant) -> bool {
+        now >= self.started_at + self.max_flow_age
     }
 
     /// Whether the server's life is over, and its flows have been ended.
@@ -158,10 +163,13 @@
         self.server.is_gone() && self.farewell_at.is_none()
     }
 
-    /// Whether no flow can be open beside this agent: its server has ended, or none has reported since the
-    /// agent started, though one that is there would have.
-    pub fn is_vacant(&self, now: Instant) -> bool {
-        self.has_ended() || self.server.is_missing(now, self.started_at)
+    /// What the others are told of the server's presence and start. The agent is vacant if its server has
+    /// ended, or none has reported since the agent started, though one that is there would have.
+    pub fn beside(&self, now: Instant) -> Beside {
+        Beside {
+            is_vacant: self.has_ended() || self.server.is_missing(now, self.started_at),
+            is_young: self.is_young(now),
+        }
     }
 
     /// Whether the server, in its present life, has shown that it does not hold the flow. It can do so later
@@ -181,7 +189,7 @@
     }
 
     /// Whether the agent has started a moment ago, beside no server that it knows to be older.
-    pub fn is_young(&self, now: Instant) -> bool {
+    fn is_young(&self, now: Instant) -> bool {
         now < self.started_at + YOUNG_FOR && !self.server.has_outlived_agent()
     }
 
@@ -194,7 +202,7 @@
     /// this one, but not if everything has just started.
     pub(super) fn learn_from_others(&mut self, now: Instant) {
         let is_settled = self.is_settled(now);
-        if !is_settled && self.is_young(now) && self.mesh.have_all_begun(now) {
+        if !is_settled && self.is_young(now) && self.mesh.note_common_start(now) {
             self.has_begun_with_all = true;
             self.server.set_seen_whole();
         }
@@ -263,8 +271,8 @@
 
     /// Whether the flow may be open at the server though the agent, which started later, does not know it.
     fn may_hold_unknown(&self, now: Instant, key: FlowKey) -> bool {
-        let may_be_older = now < self.started_at + self.max_flow_age;
-        self.server.is_older() && may_be_older && !self.has_handed_back(key)
+        let is_past = self.is_older_than_flows(now) || self.has_handed_back(key);
+        self.server.is_older() && !is_past
     }
 
     /// A flow that others say is here. An agent that started lately leaves it to the server, which
--- a/crates/core/src/forwarded/mesh.rs
+++ b/crates/core/src/forwarded/mesh.rs
@@ -78,6 +78,16 @@
     pub slots: u32,
 }
 
+/// What an agent says of its server's presence and start.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
+#[display("vacant {is_vacant}, young {is_young}")]
+pub struct Beside {
+    /// No flow can be open beside it: no server is there.
+    pub is_vacant: bool,
+    /// It has started a moment ago, beside no server that it knows to be older.
+    pub is_young: bool,
+}
+
 /// What a node says with every message.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Greeting {
@@ -91,10 +101,8 @@
     pub heard: Option<Duration>,
     /// What an agent says of its server.
     pub report: Option<ServerReport>,
-    /// An agent says that no flow can be open beside it: no server is there.
-    pub is_vacant: bool,
-    /// An agent says that it has started a moment ago, beside no server that it knows to be older.
-    pub is_young: bool,
+    /// What an agent says of its server's presence and start.
+    pub beside: Beside,
 }
 
 /// A node by its address and role.
@@ -135,10 +143,8 @@
     greet_at: Instant,
     /// The last report of an agent.
     pub report: Option<HeardReport>,
-    /// Whether the agent said last that no server is beside it.
-    pub is_vacant: bool,
-    /// Whether it said last that it has just started.
-    pub is_young: bool,
+    /// What an agent said last of its server's presence and start.
+    beside: Beside,
     /// Whether its life began when everything had just started: nothing from before can be open beside it.
     began_with_all: bool,
 }
@@ -214,8 +220,7 @@
             heard_us_at: None,
             greet_at: now,
             report: None,
-            is_vacant: false,
-            is_young: false,
+            beside: Beside::default(),
             began_with_all: false,
         });
         known.listed_at = now;
@@ -257,8 +262,7 @@
             at: now,
             sent_since: 0,
         });
-        known.is_vacant = greeting.is_vacant;
-        known.is_young = greeting.is_young;
+        known.beside = greeting.beside;
         match role {
             NodeRole::Agent if news.is_new || news.restarted => {
                 self.newest_agent_at = Some(now);
@@ -396,7 +400,7 @@
     /// open. One that is silent is passed over only if it said before that no server was beside it, or had
     /// begun with all others and never had a server to give flows to.
     pub fn deniers(&self) -> impl Iterator<Item = Ipv4Addr> {
-        let has_none = |k: &Known| k.is_vacant || (k.began_with_all && k.report.is_none());
+        let has_none = |k: &Known| k.beside.is_vacant || (k.began_with_all && k.report.is_none());
         let others = self.agents().filter(move |(_, k)| !has_none(k));
         others.map(|(ip, _)| ip).chain([self.own.ip])
     }
@@ -410,11 +414,18 @@
         now >= newest.max(answered_at) + QUIET_SPAN
     }
 
-    /// Whether all agents have just started, most of them beside servers that have, and nobody has come
-    /// since, as after a loss of power everywhere. What was open before is then over. Where servers outlive
-    /// their agents, those that have not reported yet would be taken for new; hence most.
-    pub fn have_all_begun(&mut self, now: Instant) -> bool {
-        let is_young = |k: &Known| k.is_vacant || (k.is_young && self.is_heard(now, k));
+    /// Notes that all agents have begun together, if that can be told: all have just started, most of them
+    /// beside servers that have, and nobody has come since, as after a loss of power everywhere. What was open
+    /// before is then over. Where servers outlive their agents, those that have not reported yet would be taken
+    /// for new; hence most.
+    pub fn note_common_start(&mut self, now: Instant) -> bool {
+        let is_young = |k: &Known| {
+            let Beside {
+                is_vacant,
+                is_young,
+            } = k.beside;
+            is_vacant || (is_young && self.is_heard(now, k))
+        };
         let are_young = self.agents().all(|(_, k)| is_young(k));
         let served = self.agents().filter(|(_, k)| k.report.is_some());
         let are_most_served = served.count() * 2 > self.agents().count();
--- a/crates/core/tests/testsuite/forwarded/faults.rs
+++ b/crates/core/tests/testsuite/forwarded/faults.rs
@@ -188,12 +188,7 @@
 fn callers_are_told_after_all_hosts_lost_power(#[values(1, 2, 3)] seed: u64) {
     let mut world = World::new(seed, 7, 3, 2);
     let flows = open_calls(&mut world, 14);
-    for n in 0..10 {
-        world.at(Duration::ZERO, Change::LosePower(n));
-        world.at(100 * MS, Change::RegainPower(n));
-    }
-    world.at(Duration::ZERO, Change::RemoveBalancer(0));
-    world.at(Duration::ZERO, Change::RemoveBalancer(1));
+    lose_all_power(&mut world, &[]);
     world.at(100 * MS, Change::AddBalancer);
     // One second after their start agents trust that they know each other.
     world.run_for(100 * MS + Duration::from_secs(1) + 250 * MS);
@@ -248,36 +243,32 @@
     assert!(world.breaches.is_empty(), "{:?}", world.breaches);
 }
 
-/// Agents of servers that were about to go come back from a loss of power and are then taken away, one after
-/// the other, without a word. Callers of flows that ended with the power are told all the same.
-#[rstest]
-fn callers_are_told_though_agents_fell_silent(#[values(1, 2, 3)] seed: u64) {
+/// Agents of servers that were about to go come back from a loss of power and are then taken away without a word,
+/// each so many ms after it; callers are heard again at `heard_ms`, when the last is gone. Those of flows that
+/// ended with the power are told all the same.
+fn callers_are_told_without(taken_away: [(u32, usize); 3], heard_ms: u32, seed: u64) {
     let mut world = World::new(seed, 7, 3, 2);
     let flows = open_calls(&mut world, 14);
-    lose_all_power(&mut world, &[2, 5, 8]);
-    for (after, n) in [(1800, 2), (2000, 5), (2200, 8)] {
+    lose_all_power(&mut world, &taken_away.map(|(_, n)| n));
+    for (after, n) in taken_away {
         world.at(after * MS, Change::LosePower(n));
     }
-    world.at(2500 * MS, Change::AddBalancer);
-    world.run_for(2500 * MS + 500 * MS);
+    world.at(heard_ms * MS, Change::AddBalancer);
+    world.run_for(heard_ms * MS + 500 * MS);
     assert_eq!(broken_off(&world), flows.len(), "{:?}", world.steps);
     assert!(world.breaches.is_empty(), "{:?}", world.breaches);
 }
 
-/// Agents of servers that were about to go are taken away a moment after they came back, before anybody can
-/// say that no server reports there. Everything had just started, so nothing from before is open there.
+/// They have had the time to say that no server reports to them.
+#[rstest]
+fn callers_are_told_though_agents_fell_silent(#[values(1, 2, 3)] seed: u64) {
+    callers_are_told_without([(1800, 2), (2000, 5), (2200, 8)], 2500, seed);
+}
+
+/// They have not. Everything had just started, so nothing from before is open there.
 #[rstest]
 fn callers_are_told_though_agents_left_at_once(#[values(1, 2, 3)] seed: u64) {
-    let mut world = World::new(seed, 7, 3, 2);
-    let flows = open_calls(&mut world, 14);
-    lose_all_power(&mut world, &[2, 5, 8]);
-    for (after, n) in [(700, 2), (900, 5), (1000, 8)] {
-        world.at(after * MS, Change::LosePower(n));
-    }
-    world.at(1200 * MS, Change::AddBalancer);
-    world.run_for(1200 * MS + 500 * MS);
-    assert_eq!(broken_off(&world), flows.len(), "{:?}", world.steps);
-    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+    callers_are_told_without([(700, 2), (900, 5), (1000, 8)], 1200, seed);
 }
 
 /// Servers outlived their agents, and one host is gone, so that nobody can say of its flows that they are over.
--- a/crates/core/tests/testsuite/forwarded/mesh.rs
+++ b/crates/core/tests/testsuite/forwarded/mesh.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use dogwoodrill_core::forwarded::mesh::{
-    Boot, GREETING_INTERVAL, Greeting, Mesh, News, NodeAddress, ServerReport,
+    Beside, Boot, GREETING_INTERVAL, Greeting, Mesh, News, NodeAddress, ServerReport,
 };
 use dogwoodrill_core::forwarded::node::NodeRole;
 use dogwoodrill_core::forwarded::service_map::ServiceLabel;
@@ -37,8 +37,7 @@
             flows: 0,
             slots: 2,
         }),
-        is_vacant: false,
-        is_young: false,
+        beside: Beside::default(),
     }
 }
 
@@ -201,7 +200,10 @@
     let start = Instant::now();
     let mut mesh = balancer();
     let said = Greeting {
-        is_vacant,
+        beside: Beside {
+            is_vacant,
+            is_young: false,
+        },
         ..greeting(1, None)
     };
     mesh.on_greeting(start, AGENT, said);
--- a/crates/core/tests/testsuite/forwarded/world.rs
+++ b/crates/core/tests/testsuite/forwarded/world.rs
@@ -17,7 +17,7 @@
 use dogwoodrill_core::forwarded::decision::{Decision, Reason, Step};
 use dogwoodrill_core::forwarded::inquiry::Denial;
 use dogwoodrill_core::forwarded::keepers::FlowPlace;
-use dogwoodrill_core::forwarded::mesh::{Boot, Greeting, Mesh, NodeAddress, ServerReport};
+use dogwoodrill_core::forwarded::mesh::{Beside, Boot, Greeting, Mesh, NodeAddress, ServerReport};
 use dogwoodrill_core::forwarded::node::NodeRole;
 use dogwoodrill_core::forwarded::packet::{Flags, FlowKey, Header, Purpose, Trail};
 use dogwoodrill_core::forwarded::server::{ServerState, ServerStatement};
@@ -644,7 +644,7 @@
             return;
         };
         let report = core.report(now);
-        let beside = Beside::of(core, now);
+        let beside = core.beside(now);
         let greetings = due_greetings(core.mesh_mut(), now, node.boot, report.as_ref(), beside);
         let from = node.ip;
         for (to, greeting) in greetings {
@@ -677,7 +677,7 @@
         let actions = core.take_actions();
         let decisions = core.take_decisions();
         let report = core.report(now);
-        let beside = Beside::of(core, now);
+        let beside = core.beside(now);
         let boot = self.agents[n].boot;
         self.count(decisions);
         let greeting = |heard| greeting(boot, NodeRole::Agent, heard, report.as_ref(), beside);
@@ -1198,22 +1198,6 @@
     }
 }
 
-/// What an agent says of its server's presence and start.
-#[derive(Clone, Copy, Default)]
-struct Beside {
-    is_vacant: bool,
-    is_young: bool,
-}
-
-impl Beside {
-    fn of(agent: &Agent, now: Instant) -> Self {
-        Self {
-            is_vacant: agent.is_vacant(now),
-            is_young: agent.is_young(now),
-        }
-    }
-}
-
 fn greeting(
     boot: Boot,
     role: NodeRole,
@@ -1227,8 +1211,7 @@
         index: LogIndex::new(1),
         heard,
         report: report.cloned(),
-        is_vacant: beside.is_vacant,
-        is_young: beside.is_young,
+        beside,
     }
 }
 
--- a/crates/wire/src/convert/forwarded.rs
+++ b/crates/wire/src/convert/forwarded.rs
@@ -7,7 +7,7 @@
 
 use dogwoodrill_core::forwarded::inquiry::Denial;
 use dogwoodrill_core::forwarded::keepers::FlowPlace;
-use dogwoodrill_core::forwarded::mesh::{Boot, Greeting, NodeAddress, ServerReport};
+use dogwoodrill_core::forwarded::mesh::{Beside, Boot, Greeting, NodeAddress, ServerReport};
 use dogwoodrill_core::forwarded::node::NodeRole;
 use dogwoodrill_core::forwarded::packet::FlowKey;
 use dogwoodrill_core::forwarded::service_map::{
@@ -55,8 +55,8 @@
             places: d.places.iter().map(Into::into).collect(),
             nodes: (!d.nodes.is_empty()).then(|| node_list(&d.nodes)),
             denials: d.denials.iter().map(Into::into).collect(),
-            vacant: greeting.is_vacant,
-            young: greeting.is_young,
+            vacant: greeting.beside.is_vacant,
+            young: greeting.beside.is_young,
         }
     }
 }
@@ -76,8 +76,10 @@
                 index: d.config_index.into(),
                 heard: d.heard_ms.map(|ms| Duration::from_millis(ms.into())),
                 report,
-                is_vacant: d.vacant,
-                is_young: d.young,
+                beside: Beside {
+                    is_vacant: d.vacant,
+                    is_young: d.young,
+                },
             },
             places: places.collect::<Result<_, _>>()?,
             nodes: d.nodes.map_or_else(Vec::new, addresses),
--- a/crates/wire/tests/testsuite/forwarded.rs
+++ b/crates/wire/tests/testsuite/forwarded.rs
@@ -6,7 +6,7 @@
 
 use dogwoodrill_core::forwarded::inquiry::{AgentSet, Denial};
 use dogwoodrill_core::forwarded::keepers::FlowPlace;
-use dogwoodrill_core::forwarded::mesh::{Boot, Greeting, NodeAddress, ServerReport};
+use dogwoodrill_core::forwarded::mesh::{Beside, Boot, Greeting, NodeAddress, ServerReport};
 use dogwoodrill_core::forwarded::node::NodeRole;
 use dogwoodrill_core::forwarded::packet::FlowKey;
 use dogwoodrill_core::forwarded::service_map::{
@@ -25,8 +25,7 @@
         index: LogIndex::new(12),
         heard: None,
         report: None,
-        is_vacant: false,
-        is_young: false,
+        beside: Beside::default(),
     }
 }
 
@@ -68,8 +67,8 @@
 #[case::measured(Datagram::from(Greeting { report: Some(report(Some(Duration::from_micros(15_432)))), ..greeting(NodeRole::Agent) }))]
 #[case::places(Datagram { places: vec![place(1), place(2)], ..Datagram::from(greeting(NodeRole::Agent)) })]
 #[case::nodes(Datagram { nodes: [NodeRole::Balancer, NodeRole::Agent, NodeRole::Control].map(|role| NodeAddress { ip: Ipv4Addr::new(10, 1, 0, 9), role }).to_vec(), ..Datagram::from(greeting(NodeRole::Control)) })]
-#[case::young(Datagram::from(Greeting { is_young: true, ..greeting(NodeRole::Agent) }))]
-#[case::vacant(Datagram::from(Greeting { is_vacant: true, ..greeting(NodeRole::Agent) }))]
+#[case::young(Datagram::from(Greeting { beside: Beside { is_vacant: false, is_young: true }, ..greeting(NodeRole::Agent) }))]
+#[case::vacant(Datagram::from(Greeting { beside: Beside { is_vacant: true, is_young: false }, ..greeting(NodeRole::Agent) }))]
 #[case::denials(Datagram { denials: vec![denial(1), denial(2)], ..Datagram::from(greeting(NodeRole::Agent)) })]
 fn a_datagram_arrives_as_it_was(#[case] sent: Datagram) {
     let bytes = wire::Datagram::from(&sent).encode_to_vec();
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -86,11 +86,8 @@
             Ok(()) => Answer::TakenIn(true),
             Err(refusal) => Answer::Refusal(refusal.to_string()),
         };
-        let place = self.handle.place().await.map_err(unavailable)?;
-        let members = place.membership.members().iter();
         Ok(Response::new(wire::JoinResponse {
             answer: Some(answer),
-            members: members.map(|m| m.address.to_string()).collect(),
         }))
     }
 }
--- a/src/forwarded/agent.rs
+++ b/src/forwarded/agent.rs
@@ -19,7 +19,6 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Format;
-use super::datagrams::Beside;
 use super::fetch::Fetched;
 use super::journal::{Event, Journal};
 use super::link::Link;
@@ -90,9 +89,6 @@
     to_keepers: BTreeMap<Ipv4Addr, Vec<FlowPlace>>,
     last_report: Option<ServerReport>,
     report_from: Instant,
-    started_at: Instant,
-    /// The log has that all agents began together.
-    has_said_begun: bool,
     said: mpsc::Receiver<Said>,
     handle: ServerHandle,
     ready: watch::Sender<bool>,
@@ -125,8 +121,6 @@
             to_keepers: BTreeMap::new(),
             last_report: None,
             report_from: now,
-            started_at: now,
-            has_said_begun: false,
             said,
             handle: ServerHandle {
                 tx,
@@ -213,7 +207,7 @@
                     outcome,
                     StatementOutcome::NewLife | StatementOutcome::Changed
                 ) {
-                    let up = now.saturating_duration_since(self.started_at);
+                    let up = now.saturating_duration_since(self.agent.started_at());
                     let detail = format!(
                         "{outcome}, report {sequence}, cold for {} ms, agent up for {} ms",
                         cold.as_millis(),
@@ -254,26 +248,23 @@
     /// True when it is time to end.
     fn on_tick(&mut self) -> bool {
         let now = Instant::now();
+        let had_begun = self.agent.has_begun_with_all();
         self.agent.on_tick(now);
+        if self.agent.has_begun_with_all() && !had_begun {
+            let event = Event::new("all began together");
+            let detail = "nothing from before is open";
+            self.link.journal.event(event.with(&detail));
+        }
         self.act();
         self.tell_of_change(now);
         let report = self.agent.report(now);
         let index = self.agent.map().index;
-        let beside = Beside {
-            is_vacant: self.agent.is_vacant(now),
-            is_young: self.agent.is_young(now),
-        };
+        let beside = self.agent.beside(now);
         if self.link.datagrams.set_beside(beside) {
             let event = Event::new("tells of its start").with(&beside);
             self.link.journal.event(event);
             self.agent.mesh_mut().greet_soon(now, now);
         }
-        if self.agent.has_begun_with_all() && !self.has_said_begun {
-            self.has_said_begun = true;
-            let event = Event::new("all began together");
-            let detail = "nothing from before is open";
-            self.link.journal.event(event.with(&detail));
-        }
         self.link
             .datagrams
             .greet(now, self.agent.mesh_mut(), index, report.as_ref());
--- a/src/forwarded/control.rs
+++ b/src/forwarded/control.rs
@@ -248,6 +248,16 @@
     NodeId::new(ip.to_bits().into())
 }
 
+/// What a control host said to one that asks to be taken in.
+enum JoinAnswer {
+    TakenIn,
+    Refused {
+        why: String,
+        /// The members that it knows.
+        members: Membership,
+    },
+}
+
 /// Finds the host's place among the control hosts.
 #[derive(Debug)]
 struct Joiner {
@@ -314,29 +324,21 @@
             if !asked.insert(address) {
                 continue;
             }
-            let Ok(Some(response)) = timeout(JOIN_TIMEOUT, self.ask_one(address, host)).await
-            else {
-                log::debug!("{address} did not answer");
-                continue;
-            };
-            match response.answer {
-                Some(Answer::TakenIn(_)) => {
+            match timeout(JOIN_TIMEOUT, self.ask_one(address, host)).await {
+                Ok(Some(JoinAnswer::TakenIn)) => {
                     log::info!("taken in by {address}");
                     return;
                 }
-                Some(Answer::Refusal(refusal)) => log::debug!("{address}: {refusal}"),
-                None => log::debug!("{address} did not say whether it takes the host in"),
+                Ok(Some(JoinAnswer::Refused { why, members })) => {
+                    log::debug!("{address}: {why}");
+                    to_ask.extend(members.members().iter().map(|m| m.address));
+                }
+                Ok(None) | Err(_) => log::debug!("{address} did not answer"),
             }
-            let members = response.members.iter();
-            to_ask.extend(members.filter_map(|m| m.parse::<SocketAddr>().ok()));
         }
     }
 
-    async fn ask_one(
-        &self,
-        address: SocketAddr,
-        host: MemberId,
-    ) -> Option<consensus_wire::JoinResponse> {
+    async fn ask_one(&self, address: SocketAddr, host: MemberId) -> Option<JoinAnswer> {
         let member = Member {
             id: host,
             role: MemberRole::Learner,
@@ -349,8 +351,15 @@
             replaces_node: 0,
         };
         let channel = transport::connect(&self.cx, address).await.ok()?;
-        let answer = ConsensusClient::new(channel).join(request).await;
-        Some(answer.ok()?.into_inner())
+        let mut client = ConsensusClient::new(channel);
+        let answer = client.join(request).await.ok()?.into_inner().answer?;
+        let why = match answer {
+            Answer::TakenIn(_) => return Some(JoinAnswer::TakenIn),
+            Answer::Refusal(why) => why,
+        };
+        let place = client.identify(consensus_wire::IdentifyRequest {}).await;
+        let members = place.ok()?.into_inner().membership?.try_into().ok()?;
+        Some(JoinAnswer::Refused { why, members })
     }
 }
 
--- a/src/forwarded/datagrams.rs
+++ b/src/forwarded/datagrams.rs
@@ -3,9 +3,8 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
-use derive_more::Display;
 use dogwoodrill_core::forwarded::keepers::FlowPlace;
-use dogwoodrill_core::forwarded::mesh::{Boot, Greeting, Mesh, NodeAddress, ServerReport};
+use dogwoodrill_core::forwarded::mesh::{Beside, Boot, Greeting, Mesh, NodeAddress, ServerReport};
 use dogwoodrill_core::forwarded::node::NodeSettings;
 use dogwoodrill_core::ids::LogIndex;
 use dogwoodrill_wire::convert::ConvertError;
@@ -30,16 +29,6 @@
     beside: Beside,
 }
 
-/// What an agent says of its server's presence and start.
-#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
-#[display("vacant {is_vacant}, young {is_young}")]
-pub struct Beside {
-    /// No server is there.
-    pub is_vacant: bool,
-    /// The agent has just started, and the server is not known to be older.
-    pub is_young: bool,
-}
-
 /// Why a datagram was left out.
 #[derive(Debug, Snafu)]
 enum Unreadable {
@@ -134,8 +123,7 @@
             index,
             heard,
             report,
-            is_vacant: self.beside.is_vacant,
-            is_young: self.beside.is_young,
+            beside: self.beside,
         }
     }
 
