Report a joining control host as a learner until its promotion is committed

Cause: a host's status took the role from the latest membership in its log, and the member list from the last committed one. Between the promotion's append and its commit a host with a wiped disk therefore called itself a follower, beside a list that still had its predecessor on the same node as a voter. `wiped_host_rejoins_with_a_new_identity` took that for the end of the replacement and stopped another host, which left two of four voters. An operator's script could do the same.

Change: the role follows the committed membership.

--- a/crates/consensus/src/node/standing.rs
+++ b/crates/consensus/src/node/standing.rs
@@ -6,7 +6,7 @@
 use dogwoodrill_core::ids::{LogIndex, Term};
 
 use super::{Node, Role};
-use crate::member::{Member, MemberId, MemberRole};
+use crate::member::{Member, MemberId, Membership};
 
 /// Current role of a member.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
@@ -40,7 +40,7 @@
 /// Status of a member.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct MemberStatus {
-    /// Current role of the member.
+    /// Current role of the member. A host that joins is a learner until its promotion is in `members`.
     pub role: RoleName,
     /// Current term of the member.
     pub term: Term,
@@ -59,7 +59,7 @@
         let committed = self.log.membership_at(self.commit);
         let members = committed.members().iter();
         MemberStatus {
-            role: self.role_name(),
+            role: self.role_name(committed),
             term: self.term(),
             leader: self.leader,
             commit: self.commit,
@@ -67,15 +67,12 @@
         }
     }
 
-    fn role_name(&self) -> RoleName {
-        let own_member = self.membership().get(self.id);
+    fn role_name(&self, committed: &Membership) -> RoleName {
         match &self.role {
             Role::Leader(_) => RoleName::Leader,
             Role::Candidate(_) => RoleName::Candidate,
-            Role::Follower if own_member.is_none_or(|m| m.role == MemberRole::Learner) => {
-                RoleName::Learner
-            }
-            Role::Follower => RoleName::Follower,
+            Role::Follower if committed.is_voter(self.id) => RoleName::Follower,
+            Role::Follower => RoleName::Learner,
         }
     }
 
--- a/crates/consensus/tests/testsuite/membership.rs
+++ b/crates/consensus/tests/testsuite/membership.rs
@@ -1,6 +1,6 @@
 //! Replacement of a host and isolation of a leader.
 
-use dogwoodrill_consensus::{MemberId, MemberRole};
+use dogwoodrill_consensus::{MemberId, MemberRole, RoleName};
 use insta::assert_snapshot;
 
 use crate::simulation::{RELIABLE, Sabotage, Simulation};
@@ -102,6 +102,31 @@
     );
 }
 
+/// Until a promotion is committed, the member list of a joining host still has its predecessor on the same node as
+/// a voter. A caller that takes the host for that voter would stop another one too early, so the reported role
+/// must agree with the list.
+#[test]
+fn a_joining_host_reports_a_voting_role_only_once_it_is_listed_as_a_voter() {
+    const STEPS: u64 = 80;
+    let mut simulation = healthy_cluster(3, 4);
+    let lost = follower(&simulation);
+    let new_member = simulation.replace(lost);
+    simulation.join_as_replacement(new_member, lost);
+    let mut was_listed = false;
+    for step in 0..STEPS {
+        simulation.run(1).unwrap();
+        let is_listed = simulation.reported_voters(new_member).contains(&new_member);
+        let role = simulation.status(new_member).role;
+        assert_eq!(
+            role != RoleName::Learner,
+            is_listed,
+            "{role} in step {step}"
+        );
+        was_listed |= is_listed;
+    }
+    assert!(was_listed, "the host joins");
+}
+
 #[test]
 fn a_learner_that_cannot_catch_up_is_not_promoted() {
     let mut simulation = healthy_cluster(3, 2);
--- a/crates/consensus/tests/testsuite/simulation.rs
+++ b/crates/consensus/tests/testsuite/simulation.rs
@@ -10,7 +10,8 @@
 use bytes::{Buf, Bytes};
 use dogwoodrill_consensus::{
     AppendOutcome, Apply, Batch, Entry, Envelope, JoinPolicy, Member, MemberId, MemberRole,
-    Membership, Message, Node, Outputs, Payload, PersistedState, ReadId, RoleName, Snapshot,
+    MemberStatus, Membership, Message, Node, Outputs, Payload, PersistedState, ReadId, RoleName,
+    Snapshot,
 };
 use dogwoodrill_core::ids::{LogIndex, NodeId, Term};
 use rand::rngs::StdRng;
@@ -646,10 +647,14 @@
         }
     }
 
+    /// Returns the status that a running host reports.
+    pub fn status(&self, id: MemberId) -> MemberStatus {
+        self.hosts[&id].node.as_ref().unwrap().status(self.now)
+    }
+
     /// Returns the members that the status of a host reports as voters.
     pub fn reported_voters(&self, id: MemberId) -> BTreeSet<MemberId> {
-        let status = self.hosts[&id].node.as_ref().unwrap().status(self.now);
-        let members = status.members.into_iter().map(|m| m.member);
+        let members = self.status(id).members.into_iter().map(|m| m.member);
         let voters = members.filter(|m| m.role == MemberRole::Voter);
         voters.map(|m| m.id).collect()
     }
