--- a/src/ops/node/operators.rs
+++ b/src/ops/node/operators.rs
@@ -85,7 +85,7 @@
         }
         text(
             StatusCode::SERVICE_UNAVAILABLE,
-            "the zone is being changed concurrently; try again\n",
+            "others change the zone; try again\n",
         )
     }
 
@@ -94,20 +94,14 @@
             HostRefusal::NotLeader(Some(leader)) => self.redirect(path, leader),
             other => {
                 log::info!("cannot complete the call {path}: {other:?}");
-                text(
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    "the outcome is unknown; try again\n",
-                )
+                text(StatusCode::SERVICE_UNAVAILABLE, "not sure; ask again\n")
             }
         }
     }
 
     fn redirect(&self, path: &str, leader: &ControlHost) -> Reply {
         let location = format!("http://{}:{}{path}", leader.address.ip(), self.port);
-        let mut reply = text(
-            StatusCode::TEMPORARY_REDIRECT,
-            "this host is not the leader\n",
-        );
+        let mut reply = text(StatusCode::TEMPORARY_REDIRECT, "ask the leader\n");
         if let Ok(location) = HeaderValue::from_str(&location) {
             reply.headers_mut().insert(LOCATION, location);
         }
