Expect of an unmeasured server what its peers measure

Cause: until a server was measured, its agent and the balancers took its service time for 15 ms (24 ms cold), the work of another deployment. Where requests take 45 ms, each server of a release, and each that comes back, counted as three times as fast as the others, drew flows and served them late.

Change: `work_time` takes the medians that the agents of the service's other servers report, warm and cold ones apart, until the server has a measurement of its own. The agent reports that expectation, so that balancers and peers use the same figure; a report without a response is left out of the medians. The log line of a new server gives the figure. 15 ms are left for a service of which nobody has measured anything.

--- a/crates/core/src/forwarded.rs
+++ b/crates/core/src/forwarded.rs
@@ -30,3 +30,4 @@
 pub mod server;
 pub mod service_map;
 pub mod waiting;
+pub mod work_time;
--- a/crates/core/src/forwarded/agent.rs
+++ b/crates/core/src/forwarded/agent.rs
@@ -29,10 +29,10 @@
 use super::mesh::{Mesh, ServerReport};
 use super::outlier::{OutlierDetector, ServiceBaseline};
 use super::packet::{Flags, FlowKey, Header, Purpose, Trail};
-use super::placement::WorkTime;
 use super::server::Server;
 use super::service_map::ServiceMap;
 use super::waiting::AdmissionQueue;
+use super::work_time::{PeerWorkTimes, WorkTime};
 
 mod flow;
 mod life;
@@ -147,7 +147,7 @@
     busy: u32,
     /// Those of the `busy` requests that have reached the server.
     running: u32,
-    /// Measured service time of the server.
+    /// Service time of the server.
     work: WorkTime,
     outlier: OutlierDetector,
     queue: AdmissionQueue,
@@ -291,6 +291,7 @@
     /// Returns the report on the server that heartbeats carry; `None` until the server has reported.
     pub fn report(&self, now: Instant) -> Option<ServerReport> {
         let statement = self.server.statement()?;
+        let is_cold = self.server.is_cold(now);
         let zone_in = self.map.is_zone_enabled(&statement.zone);
         let is_accepting =
             self.server.unavailability(now).is_none() && zone_in && self.map.table.is_some();
@@ -298,9 +299,9 @@
             service: statement.service.clone(),
             zone: statement.zone.clone(),
             is_accepting: is_accepting && !self.is_stopping,
-            is_cold: self.server.is_cold(now),
+            is_cold,
             busy: self.total_requests(),
-            work: self.work.measured(),
+            work: self.work.expected(is_cold),
             flows: u32::try_from(self.flows.len()).unwrap_or(u32::MAX),
             slots: statement.slots,
             responses: self.outlier.stats(),
@@ -562,9 +563,7 @@
 
     fn sweep(&mut self, now: Instant) {
         self.mesh.on_tick(now);
-        let service = self.server.statement().map(|s| &s.service);
-        let usual = service.and_then(|s| ServiceBaseline::of(self.mesh.reports(now, s)));
-        self.outlier.set_baseline(now, usual);
+        self.compare_with_peers(now);
         self.directory.expire(now);
         self.searches.expire(now);
         self.bounced.retain(|_, h| now < h.until);
@@ -580,6 +579,17 @@
         }
     }
 
+    /// Updates what the reports of the service's other servers say about response times.
+    fn compare_with_peers(&mut self, now: Instant) {
+        let Some(statement) = self.server.statement() else {
+            return;
+        };
+        let reports = self.mesh.reports(now, &statement.service);
+        self.outlier
+            .set_baseline(now, ServiceBaseline::of(reports.clone()));
+        self.work.set_peers(PeerWorkTimes::of(reports));
+    }
+
     fn record_decision(&mut self, decision: Decision) {
         self.decisions.push(decision);
     }
--- a/crates/core/src/forwarded/agent/life.rs
+++ b/crates/core/src/forwarded/agent/life.rs
@@ -6,8 +6,8 @@
 use crate::forwarded::decision::{Decision, Step};
 use crate::forwarded::outlier::OutlierDetector;
 use crate::forwarded::packet::FlowKey;
-use crate::forwarded::placement::WorkTime;
 use crate::forwarded::server::{ServerStatement, StatementOutcome};
+use crate::forwarded::work_time::WorkTime;
 
 /// Time from a server's leave notice to the end of its flows; the server may still be sending.
 const LEAVE_GRACE: Duration = Duration::from_millis(300);
@@ -22,6 +22,7 @@
         if outcome == StatementOutcome::NewIncarnation {
             self.work = WorkTime::default();
             self.outlier = OutlierDetector::default();
+            self.compare_with_peers(now);
             self.end_flows_of_earlier_incarnations(now);
         }
         outcome
--- a/crates/core/src/forwarded/agent/openings.rs
+++ b/crates/core/src/forwarded/agent/openings.rs
@@ -91,10 +91,10 @@
         {
             return self.redirect_to(now, to, header, Reason::Suspended);
         }
-        let max_completion = self.completion().saturating_sub(REDIRECT_MARGIN);
+        let max_completion = self.completion(now).saturating_sub(REDIRECT_MARGIN);
         match self.choose_peer(now, from, key, PeerFilter::CompletesWithin(max_completion)) {
             Some(to) if can_redirect => self.redirect_to(now, to, header, Reason::Busy),
-            _ if self.queue.is_empty() && self.has_capacity(key) => {
+            _ if self.queue.is_empty() && self.has_capacity(now, key) => {
                 self.accept(now, header, packet)
             }
             _ => self.enqueue(now, header, packet),
@@ -106,14 +106,19 @@
         self.outlier.is_suspended() && !self.outlier.take_probe(now)
     }
 
+    /// Returns the expected service time of a request at the server.
+    pub fn work_time(&self, now: Instant) -> Duration {
+        self.work.time(self.server.is_cold(now))
+    }
+
     /// Expected completion time at this server of a request that arrives now.
-    fn completion(&self) -> Duration {
-        placement::completion(self.work.time(), self.total_requests(), self.slots())
+    fn completion(&self, now: Instant) -> Duration {
+        placement::completion(self.work_time(now), self.total_requests(), self.slots())
     }
 
     /// Largest queue length at which the server completes all requests within `longest`.
-    fn max_queue_len(&self, longest: Duration) -> usize {
-        let work = self.work.time().as_secs_f64().max(f64::EPSILON);
+    fn max_queue_len(&self, now: Instant, longest: Duration) -> usize {
+        let work = self.work_time(now).as_secs_f64().max(f64::EPSILON);
         let turns = (longest.as_secs_f64() / work - 1.0).max(0.0);
         #[expect(
             clippy::cast_possible_truncation,
@@ -125,8 +130,8 @@
     }
 
     /// Expected completion time of a request that is delivered to the server now.
-    fn completion_if_admitted(&self) -> Duration {
-        placement::completion(self.work.time(), self.busy, self.slots())
+    fn completion_if_admitted(&self, now: Instant) -> Duration {
+        placement::completion(self.work_time(now), self.busy, self.slots())
     }
 
     /// Number of requests at the server, on their way to it, and in the admission queue.
@@ -136,10 +141,10 @@
     }
 
     /// Whether the server can take another request with the policy of that flow.
-    fn has_capacity(&self, key: FlowKey) -> bool {
+    fn has_capacity(&self, now: Instant, key: FlowKey) -> bool {
         let policy = self.map.route(key.service).map(|r| r.policy);
         let target = policy.map_or(Duration::ZERO, |t| t.target);
-        let capacity = gate::capacity(self.work.time(), self.busy, self.slots(), target);
+        let capacity = gate::capacity(self.work_time(now), self.busy, self.slots(), target);
         capacity == Capacity::Available
     }
 
@@ -149,8 +154,8 @@
             return self.refuse(now, header, Reason::OtherService);
         };
         self.queue.push(now, header, packet, policy);
-        let most = self.max_queue_len(max_queue_time(policy));
-        for w in self.queue.trim(now, self.completion_if_admitted(), most) {
+        let most = self.max_queue_len(now, max_queue_time(policy));
+        for w in self.queue.trim(now, self.completion_if_admitted(now), most) {
             self.refuse(now, &w.header, Reason::Busy);
         }
         if !self.queue.contains(key) {
@@ -173,12 +178,12 @@
             self.refuse(now, &w.header, Reason::Busy);
         }
         let is_rejecting = self.server.unavailability(now).is_some() || self.is_stopping;
-        while let Some(next) = self.queue.next(now, self.completion_if_admitted()) {
+        while let Some(next) = self.queue.next(now, self.completion_if_admitted(now)) {
             let key = next.flow;
             let has_capacity = if next.is_late {
                 gate::would_idle(self.busy, self.slots())
             } else {
-                self.has_capacity(key)
+                self.has_capacity(now, key)
             };
             if !is_rejecting && !has_capacity {
                 return;
--- a/crates/core/src/forwarded/mesh.rs
+++ b/crates/core/src/forwarded/mesh.rs
@@ -77,7 +77,8 @@
     pub is_cold: bool,
     /// Number of requests at the server, on their way to it, or queued at its agent.
     pub busy: u32,
-    /// Mean service time of a request; `None` until measured.
+    /// Expected service time of a request: measured, or until then that of the service's other servers; `None`
+    /// if neither is known.
     pub work: Option<Duration>,
     /// Number of flows at the server.
     pub flows: u32,
@@ -546,7 +547,7 @@
         &'a self,
         now: Instant,
         service: &'a ServiceLabel,
-    ) -> impl Iterator<Item = &'a ServerReport> {
+    ) -> impl Iterator<Item = &'a ServerReport> + Clone {
         let reports = self
             .live(now, NodeRole::Agent)
             .filter_map(|(_, known)| Some(&known.report.as_ref()?.report));
--- a/crates/core/src/forwarded/outlier.rs
+++ b/crates/core/src/forwarded/outlier.rs
@@ -15,8 +15,8 @@
 use derive_more::{Display, From, FromStr, Into};
 
 use super::mesh::ServerReport;
-use super::placement::NEWEST_SHARE;
 use super::probation::Probation;
+use super::work_time::{NEWEST_SHARE, median};
 
 /// A response counts as a failure if both its service time and its bytes are below the baseline divided by
 /// this. Service times spread around their mean, so one of the two alone is not enough.
@@ -94,12 +94,6 @@
     }
 }
 
-fn median<T: Copy + Ord>(values: impl Iterator<Item = T>) -> Option<T> {
-    let mut values: Vec<_> = values.collect();
-    values.sort_unstable();
-    values.get(values.len().checked_sub(1)? / 2).copied()
-}
-
 /// Decides from the responses of one server whether to suspend it.
 #[derive(Debug, Default)]
 pub struct OutlierDetector {
--- a/crates/core/src/forwarded/placement.rs
+++ b/crates/core/src/forwarded/placement.rs
@@ -18,14 +18,9 @@
 use rand::seq::IteratorRandom;
 
 use super::mesh::ReceivedReport;
+use super::work_time;
 use crate::ids::AvailabilityZone;
 
-/// Assumed service time of a server without measurements; that of quick checks and orders.
-const DEFAULT_WORK: Duration = Duration::from_millis(15);
-/// Factor by which the service time of a server that has just started is longer, until it is measured.
-const COLD_FACTOR: f64 = 1.6;
-/// Weight of a new measurement in the moving average; about the last ten requests count.
-pub(super) const NEWEST_SHARE: f64 = 0.1;
 /// Number of flows without a running request that count as one request. An open flow sends about one request
 /// per second, each with a service time of about 15 ms.
 const FLOWS_PER_REQUEST: u32 = 50;
@@ -49,36 +44,6 @@
     }
 }
 
-/// Service time of a server, as its agent measures it.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct WorkTime {
-    mean: Option<Duration>,
-}
-
-impl WorkTime {
-    /// Adds a measurement to the mean. `running` is the number of requests, this one included, that were at
-    /// the server when it arrived. If that exceeds `slots`, the measurement is ignored, because it may
-    /// include time in a queue.
-    pub fn record(&mut self, newest: Duration, running: u32, slots: u32) {
-        if running > slots {
-            return;
-        }
-        self.mean = Some(self.mean.map_or(newest, |mean| {
-            mean.mul_f64(1.0 - NEWEST_SHARE) + newest.mul_f64(NEWEST_SHARE)
-        }));
-    }
-
-    /// Returns the mean service time, once there is a measurement.
-    pub const fn measured(self) -> Option<Duration> {
-        self.mean
-    }
-
-    /// Returns the mean service time, or the default without measurements.
-    pub fn time(self) -> Duration {
-        self.mean.unwrap_or(DEFAULT_WORK)
-    }
-}
-
 /// Expected completion time of a request at a server with `busy` other requests, each with a service time of
 /// `work`.
 pub fn completion(work: Duration, busy: u32, slots: u32) -> Duration {
@@ -88,13 +53,7 @@
 /// Expected completion time of a request at a server, according to its last report.
 pub fn expected_completion(received: &ReceivedReport) -> Duration {
     let report = &received.report;
-    let work = report.work.unwrap_or_else(|| {
-        if report.is_cold {
-            DEFAULT_WORK.mul_f64(COLD_FACTOR)
-        } else {
-            DEFAULT_WORK
-        }
-    });
+    let work = work_time::or_default(report.work, report.is_cold);
     let idle_flows = work.saturating_mul(report.flows) / FLOWS_PER_REQUEST / report.slots.max(1);
     completion(work, report.busy + received.sent_since, report.slots) + idle_flows
 }
--- /dev/null
+++ b/crates/core/src/forwarded/work_time.rs
@@ -0,0 +1,111 @@
+//! Service time of a backend server: measured by its agent or, until there is a measurement, the one that
+//! the agents of the service's other servers report.
+//!
+//! The case that this handles: a release replaces servers one after the other. If a new server counted as a
+//! fast one until it is measured, it would draw more flows than it can complete in time, although the other
+//! servers show how long the requests of the service take.
+
+use std::time::Duration;
+
+use super::mesh::ServerReport;
+
+/// Assumed service time of a service of which no server is measured; that of quick checks and orders.
+const DEFAULT_WORK: Duration = Duration::from_millis(15);
+/// Factor by which the service time of a server that has just started is longer.
+const COLD_FACTOR: f64 = 1.6;
+/// Weight of a new measurement in the moving average; about the last ten requests count.
+pub(super) const NEWEST_SHARE: f64 = 0.1;
+
+/// Service time of a server, as its agent measures or expects it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WorkTime {
+    mean: Option<Duration>,
+    peers: PeerWorkTimes,
+}
+
+/// Median service times of the other servers of a service.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PeerWorkTimes {
+    /// Servers that have been running for a while; `None` if none of them is measured.
+    warm: Option<Duration>,
+    /// Servers that have just started and are still slow; `None` if none of them is measured.
+    cold: Option<Duration>,
+}
+
+impl WorkTime {
+    /// Adds a measurement to the mean. `running` is the number of requests, this one included, that were at
+    /// the server when it arrived. If that exceeds `slots`, the measurement is ignored, because it may
+    /// include time in a queue.
+    pub fn record(&mut self, newest: Duration, running: u32, slots: u32) {
+        if running > slots {
+            return;
+        }
+        self.mean = Some(self.mean.map_or(newest, |mean| {
+            mean.mul_f64(1.0 - NEWEST_SHARE) + newest.mul_f64(NEWEST_SHARE)
+        }));
+    }
+
+    /// Sets the service times of the service's other servers.
+    pub const fn set_peers(&mut self, peers: PeerWorkTimes) {
+        self.peers = peers;
+    }
+
+    /// Returns the mean service time, once there is a measurement.
+    pub const fn measured(self) -> Option<Duration> {
+        self.mean
+    }
+
+    /// Returns the measured service time or that of the other servers; `None` if neither is known.
+    /// `is_cold` tells whether the server has just started.
+    pub fn expected(self, is_cold: bool) -> Option<Duration> {
+        self.mean.or_else(|| self.peers.expected(is_cold))
+    }
+
+    /// Returns the expected service time, or the default if nothing is known.
+    pub fn time(self, is_cold: bool) -> Duration {
+        or_default(self.expected(is_cold), is_cold)
+    }
+}
+
+impl PeerWorkTimes {
+    /// Returns the medians of the values that the agents of a service report.
+    pub fn of<'a>(reports: impl Iterator<Item = &'a ServerReport> + Clone) -> Self {
+        let median_of = |is_cold| {
+            // A report without a response repeats what its agent knows from others.
+            let measured = reports
+                .clone()
+                .filter(|r| r.is_cold == is_cold && r.responses.mean_bytes.is_some());
+            median(measured.filter_map(|r| r.work))
+        };
+        Self {
+            warm: median_of(false),
+            cold: median_of(true),
+        }
+    }
+
+    fn expected(self, is_cold: bool) -> Option<Duration> {
+        if is_cold {
+            self.cold.or_else(|| Some(self.warm?.mul_f64(COLD_FACTOR)))
+        } else {
+            self.warm.or_else(|| Some(self.cold?.div_f64(COLD_FACTOR)))
+        }
+    }
+}
+
+/// Returns the reported service time of a server, or the default if nothing is known.
+pub(super) fn or_default(reported: Option<Duration>, is_cold: bool) -> Duration {
+    reported.unwrap_or_else(|| {
+        if is_cold {
+            DEFAULT_WORK.mul_f64(COLD_FACTOR)
+        } else {
+            DEFAULT_WORK
+        }
+    })
+}
+
+/// Returns the median; of an even number of values, the lower one of the two in the middle.
+pub(super) fn median<T: Copy + Ord>(values: impl Iterator<Item = T>) -> Option<T> {
+    let mut values: Vec<_> = values.collect();
+    values.sort_unstable();
+    values.get(values.len().checked_sub(1)? / 2).copied()
+}
--- a/crates/core/tests/testsuite/forwarded.rs
+++ b/crates/core/tests/testsuite/forwarded.rs
@@ -10,4 +10,5 @@
 mod replay;
 mod servers;
 mod waiting;
+mod work_time;
 mod world;
--- a/crates/core/tests/testsuite/forwarded/placing.rs
+++ b/crates/core/tests/testsuite/forwarded/placing.rs
@@ -6,7 +6,7 @@
 
 use dogwoodrill_core::forwarded::mesh::{ReceivedReport, ServerReport};
 use dogwoodrill_core::forwarded::outlier::ResponseStats;
-use dogwoodrill_core::forwarded::placement::{self, ProbePolicy, WorkTime};
+use dogwoodrill_core::forwarded::placement::{self, ProbePolicy};
 use dogwoodrill_core::forwarded::service_map::{Route, Target, Weight};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -80,20 +80,6 @@
     assert_eq!(servers[chosen(&servers)].report.zone.to_string(), expected);
 }
 
-/// If queued requests counted as slow ones, or the time were divided by requests that are still on their way,
-/// a full server would look slow or fast, and would repel or attract flows.
-#[test]
-fn only_requests_that_did_not_wait_are_measured() {
-    let mut work = WorkTime::default();
-    let ms = Duration::from_millis;
-    work.record(ms(90), 3, 2);
-    assert_eq!(work.measured(), None);
-    work.record(ms(20), 2, 2);
-    work.record(ms(10), 1, 2);
-    work.record(ms(900), 6, 2);
-    assert_eq!(work.measured(), Some(ms(19)));
-}
-
 #[test]
 fn flows_sent_since_a_report_count() {
     let mut servers = [
--- a/crates/core/tests/testsuite/forwarded/world.rs
+++ b/crates/core/tests/testsuite/forwarded/world.rs
@@ -355,6 +355,16 @@
         self.distribute_map();
     }
 
+    /// Puts a configuration in force in which all routes have this target latency.
+    pub fn set_target(&mut self, target: Duration) {
+        let mut map = map(self.map.index.get() + 1, None);
+        let table = map.table.as_mut().map(Arc::make_mut);
+        for route in table.into_iter().flat_map(|t| t.routes.values_mut()) {
+            route.policy.target = target;
+        }
+        self.set_map(map);
+    }
+
     fn distribute_map(&mut self) {
         for n in 0..self.agents.len() {
             let map = self.stale.get(&n).unwrap_or(&self.map);
@@ -516,12 +526,22 @@
 
     /// Adds calls at random times, `per_second` on average for `span`; service times spread around 15 ms.
     pub fn calls(&mut self, span: Duration, per_second: f64, service: SocketAddrV4) {
+        self.calls_of(span, per_second, service, Duration::from_millis(15));
+    }
+
+    /// Adds calls like [`Self::calls`], with service times between half and one and a half of `mean`.
+    pub fn calls_of(
+        &mut self,
+        span: Duration,
+        per_second: f64,
+        service: SocketAddrV4,
+        mean: Duration,
+    ) {
         let mut at = 0.0;
         while at < span.as_secs_f64() {
             let interval: f64 = self.rng.random_range(1e-9..1.0);
             at += -interval.ln() / per_second;
-            let work = self.rng.random_range(7.5..22.5);
-            let work = Duration::from_secs_f64(work / 1000.0);
+            let work = mean.mul_f64(self.rng.random_range(0.5..1.5));
             self.call(Duration::from_secs_f64(at), service, work);
         }
     }
--- a/src/forwarded/agent.rs
+++ b/src/forwarded/agent.rs
@@ -221,9 +221,10 @@
                 ) {
                     let uptime = now.saturating_duration_since(self.agent.started_at());
                     let detail = format!(
-                        "{outcome}, report {sequence}, cold for {} ms, agent up for {} ms",
+                        "{outcome}, report {sequence}, cold for {} ms, agent up for {} ms, expected service time {} ms",
                         cold.as_millis(),
-                        uptime.as_millis()
+                        uptime.as_millis(),
+                        self.agent.work_time(now).as_millis()
                     );
                     let event = Event::new("server reported").with_subject(&subject);
                     self.node_io.journal.write_event(event.with_detail(&detail));
