Let agents without a server end their flow searches

Cause: after a loss of power, agents whose servers were draining run on without a report of a server. The others leave them out of the agents that must deny a lost flow; they themselves counted themselves in. So their hash of the set differed from that in all denials, and none of their searches ever ended.

Change: the set that the hash names holds an agent only if the others count it. The searcher's own server is still asked, so that a flow found there is kept.

--- a/crates/core/src/forwarded/agent/location.rs
+++ b/crates/core/src/forwarded/agent/location.rs
@@ -191,6 +191,13 @@
         }
     }
 
+    /// Whether other agents leave this one out of those that must deny an earlier flow. They decide that by its
+    /// heartbeats: see `Mesh::deniers`.
+    pub(super) fn is_left_out(&self, now: Instant) -> bool {
+        let has_no_report = self.server.statement().is_none();
+        self.server_presence(now).has_no_server || (self.has_common_start && has_no_report)
+    }
+
     /// Whether the current server incarnation has shown that it does not hold the flow. The server can accept
     /// the flow later only through an opening packet, which would pass this agent.
     fn has_bounced(&self, key: FlowKey) -> bool {
@@ -229,6 +236,8 @@
             self.has_common_start = true;
             self.server.set_fully_observed();
         }
+        let is_left_out = self.is_left_out(now);
+        self.mesh.set_own_server_absent(is_left_out);
         if !self.deferred_searches.is_empty()
             && (self.mesh.is_membership_stable(now) || !self.is_recently_started(now))
         {
--- a/crates/core/src/forwarded/mesh.rs
+++ b/crates/core/src/forwarded/mesh.rs
@@ -180,6 +180,8 @@
     ring: KeeperRing,
     lost_after: Duration,
     ring_version: u64,
+    /// Whether this agent's heartbeats tell that no earlier flow can be open at its own server.
+    is_own_server_absent: bool,
     /// When a control host first replied.
     control_answered_at: Option<Instant>,
     /// When an agent last appeared or restarted.
@@ -204,6 +206,7 @@
             ring: KeeperRing::default(),
             lost_after: HEARTBEAT_INTERVAL * (MAX_MISSED_HEARTBEATS + 1),
             ring_version: 0,
+            is_own_server_absent: false,
             control_answered_at: None,
             newest_agent_at: None,
         }
@@ -432,9 +435,16 @@
         self.nodes().filter(|(_, k)| k.role == NodeRole::Agent)
     }
 
-    /// Returns a hash of the set [`Self::deniers`].
+    /// Notes whether this agent's heartbeats tell that no earlier flow can be open at its own server.
+    pub const fn set_own_server_absent(&mut self, is_absent: bool) {
+        self.is_own_server_absent = is_absent;
+    }
+
+    /// Returns a hash of the agents whose server may hold an earlier flow, which all agents must agree on. This
+    /// agent is one of [`Self::deniers`], but is part of the set only if the others count it too.
     pub fn agent_set_hash(&self) -> AgentSetHash {
-        let mut ips: Vec<_> = self.deniers().collect();
+        let counted = |ip: &Ipv4Addr| *ip != self.own.ip || !self.is_own_server_absent;
+        let mut ips: Vec<_> = self.deniers().filter(counted).collect();
         ips.sort_unstable();
         let mut hasher = SipHasher13::new();
         for ip in ips {
--- a/crates/core/tests/testsuite/forwarded/faults.rs
+++ b/crates/core/tests/testsuite/forwarded/faults.rs
@@ -356,6 +356,28 @@
     assert_lost_flows_are_reset([(700, 2), (900, 5), (1000, 8)], 1200, seed);
 }
 
+/// After a power failure of all hosts, the agents of three draining servers run on without a report of their
+/// servers. Packets of lost flows reach them as keepers, and their searches must end like those of others.
+#[rstest]
+fn lost_flows_are_reset_though_agents_without_a_server_search(#[values(1, 2, 3)] seed: u64) {
+    let mut simulation = Simulation::new(seed, 7, 3, 2);
+    let flows = open_calls(&mut simulation, 14);
+    lose_all_power(&mut simulation, &[2, 5, 8]);
+    simulation.at(2500 * MS, Change::AddBalancer);
+    simulation.run_for(2500 * MS + 500 * MS);
+    assert_eq!(
+        reset_count(&simulation),
+        flows.len(),
+        "{:?}",
+        simulation.steps
+    );
+    assert!(
+        simulation.violations.is_empty(),
+        "{:?}",
+        simulation.violations
+    );
+}
+
 /// Hosts return one after the other, so that the first agents count as knowing all others before all are
 /// there. One whose server was draining fails before it could report that it has no local server. The common
 /// start must still be detected.
