Send the list of nodes only to nodes that do not hold it

Ruled out: changes since a version. It would need a history at each control host and a rule for what a restarted one has lost; a list of 300 nodes that is sent once a change costs less than what was sent each second.

Change: an answer identifies the list by a hash of its content, a heartbeat to a control host names the list that its sender holds, and the list itself follows only if they differ. Nodes and control hosts of the version before name no list and get, or send, the whole one as before.

--- a/crates/core/src/forwarded.rs
+++ b/crates/core/src/forwarded.rs
@@ -23,6 +23,7 @@
 pub mod keepers;
 pub mod mesh;
 pub mod node;
+pub mod node_list;
 pub mod outlier;
 pub mod packet;
 pub mod placement;
--- a/crates/core/tests/testsuite/forwarded.rs
+++ b/crates/core/tests/testsuite/forwarded.rs
@@ -5,6 +5,7 @@
 mod keepers;
 mod load;
 mod mesh;
+mod node_list;
 mod outlier;
 mod placing;
 mod replay;
--- a/crates/wire/src/convert/forwarded.rs
+++ b/crates/wire/src/convert/forwarded.rs
@@ -12,6 +12,7 @@
     BootId, Heartbeat, NodeAddress, ServerPresence, ServerReport,
 };
 use dogwoodrill_core::forwarded::node::NodeRole;
+use dogwoodrill_core::forwarded::node_list::NodeListHash;
 use dogwoodrill_core::forwarded::outlier::ResponseStats;
 use dogwoodrill_core::forwarded::packet::FlowKey;
 use dogwoodrill_core::forwarded::service_map::{
@@ -29,9 +30,11 @@
     pub heartbeat: Heartbeat,
     /// Locations of flows that are at the sender.
     pub flow_locations: Vec<FlowLocation>,
-    /// Nodes known to the sender. Only control hosts send them.
+    /// Nodes known to the sender. Only control hosts send them, and only if the receiver holds another list.
     pub nodes: Vec<NodeAddress>,
-    /// Agents among `nodes` that reported that no flow from before their start is open at their server.
+    /// From a control host, its list of nodes; to a control host, the list of it that the sender holds.
+    pub node_list_hash: Option<NodeListHash>,
+    /// Agents known to the sender that reported that no flow from before their start is open at their server.
     pub agents_without_earlier_flows: Vec<Ipv4Addr>,
     /// Negative replies to flow searches of the receiver: flows that are not at the sender.
     pub denials: Vec<Denial>,
@@ -43,6 +46,7 @@
             heartbeat,
             flow_locations: Vec::new(),
             nodes: Vec::new(),
+            node_list_hash: None,
             agents_without_earlier_flows: Vec::new(),
             denials: Vec::new(),
         }
@@ -60,11 +64,12 @@
             heard_ms,
             report: heartbeat.report.as_ref().map(Into::into),
             places: d.flow_locations.iter().map(Into::into).collect(),
-            nodes: (!d.nodes.is_empty())
+            nodes: (!d.nodes.is_empty() || !d.agents_without_earlier_flows.is_empty())
                 .then(|| node_list(&d.nodes, &d.agents_without_earlier_flows)),
             denials: d.denials.iter().map(Into::into).collect(),
             vacant: heartbeat.server_presence.has_no_server,
             young: heartbeat.server_presence.is_recently_started,
+            node_list_hash: d.node_list_hash.map(Into::into),
         }
     }
 }
@@ -96,6 +101,7 @@
                 .map(Ipv4Addr::from_bits)
                 .collect(),
             nodes: node_addresses(nodes),
+            node_list_hash: d.node_list_hash.map(Into::into),
             denials: denials.collect::<Result<_, _>>()?,
         })
     }
--- a/crates/wire/tests/testsuite/forwarded.rs
+++ b/crates/wire/tests/testsuite/forwarded.rs
@@ -75,6 +75,7 @@
 #[case::measured(Datagram::from(Heartbeat { report: Some(report(Some(Duration::from_micros(15_432)))), ..heartbeat(NodeRole::Agent) }))]
 #[case::locations(Datagram { flow_locations: vec![location(1), location(2)], ..Datagram::from(heartbeat(NodeRole::Agent)) })]
 #[case::nodes(Datagram { nodes: [NodeRole::Balancer, NodeRole::Agent, NodeRole::Control].map(|role| NodeAddress { ip: Ipv4Addr::new(10, 1, 0, 9), role }).to_vec(), ..Datagram::from(heartbeat(NodeRole::Control)) })]
+#[case::node_list_held(Datagram { node_list_hash: Some(u64::MAX.into()), agents_without_earlier_flows: vec![Ipv4Addr::new(10, 1, 0, 9)], ..Datagram::from(heartbeat(NodeRole::Control)) })]
 #[case::fresh_agents(Datagram { nodes: vec![NodeAddress { ip: Ipv4Addr::new(10, 1, 0, 9), role: NodeRole::Agent }], agents_without_earlier_flows: vec![Ipv4Addr::new(10, 1, 0, 9)], ..Datagram::from(heartbeat(NodeRole::Control)) })]
 #[case::young(Datagram::from(Heartbeat { server_presence: ServerPresence { has_no_server: false, is_recently_started: true }, ..heartbeat(NodeRole::Agent) }))]
 #[case::vacant(Datagram::from(Heartbeat { server_presence: ServerPresence { has_no_server: true, is_recently_started: false }, ..heartbeat(NodeRole::Agent) }))]
--- a/src/forwarded/control.rs
+++ b/src/forwarded/control.rs
@@ -16,8 +16,9 @@
 use dogwoodrill_consensus::{Member, MemberId, MemberRole, Membership, Options};
 use dogwoodrill_core::config::{CommittedConfig, ZoneStatus};
 use dogwoodrill_core::control_status::ControlHost;
-use dogwoodrill_core::forwarded::mesh::{Mesh, NodeAddress};
+use dogwoodrill_core::forwarded::mesh::{Heartbeat, Mesh, NodeAddress};
 use dogwoodrill_core::forwarded::node::{ControlHostSettings, NodeRole, NodeSettings};
+use dogwoodrill_core::forwarded::node_list::NodeListHash;
 use dogwoodrill_core::forwarded::service_map::{RouteTable, ServiceMap};
 use dogwoodrill_core::ids::NodeId;
 use dogwoodrill_wire::convert::forwarded::Datagram;
@@ -488,18 +489,30 @@
         let now = Instant::now();
         let nodes: Vec<_> = self.mesh.nodes().map(|(ip, _)| ip).collect();
         for ip in nodes {
-            self.send_heartbeat(now, ip, Vec::new());
+            let datagram = self.build_heartbeat(now, ip).into();
+            self.datagrams.send(ip, &datagram);
         }
     }
 
-    fn send_heartbeat(&mut self, now: Instant, to: Ipv4Addr, nodes: Vec<NodeAddress>) {
+    fn build_heartbeat(&self, now: Instant, to: Ipv4Addr) -> Heartbeat {
         let index = self.cluster.config().index;
         let last_seen_age = self.mesh.last_seen_age(now, to);
-        let heartbeat = self.datagrams.build_heartbeat(last_seen_age, index, None);
+        self.datagrams.build_heartbeat(last_seen_age, index, None)
+    }
+
+    /// Answers a heartbeat with the list of nodes, unless its sender holds that list.
+    fn answer_heartbeat(&mut self, now: Instant, to: Ipv4Addr, held: Option<NodeListHash>) {
+        let nodes = self.known_nodes(now);
+        let hash = NodeListHash::of(&nodes);
         let datagram = Datagram {
-            nodes,
+            nodes: if held == Some(hash) {
+                Vec::new()
+            } else {
+                nodes
+            },
+            node_list_hash: Some(hash),
             agents_without_earlier_flows: self.mesh.agents_without_earlier_flows(now).collect(),
-            ..Datagram::from(heartbeat)
+            ..Datagram::from(self.build_heartbeat(now, to))
         };
         self.datagrams.send(to, &datagram);
     }
@@ -512,8 +525,7 @@
             self.journal
                 .write_node_change(NodeAddress { ip: from, role }, change);
             if role != NodeRole::Control {
-                let nodes = self.known_nodes(now);
-                self.send_heartbeat(now, from, nodes);
+                self.answer_heartbeat(now, from, datagram.node_list_hash);
             }
         }
     }
--- a/src/forwarded/link.rs
+++ b/src/forwarded/link.rs
@@ -64,7 +64,8 @@
     ) -> FlowUpdates {
         let (role, advertised_index) = (datagram.heartbeat.role, datagram.heartbeat.index);
         let change = mesh.on_heartbeat(now, from, datagram.heartbeat);
-        mesh.learn_all(now, datagram.nodes);
+        self.datagrams
+            .learn_listed_nodes(now, mesh, from, datagram.node_list_hash, datagram.nodes);
         mesh.mark_without_earlier_flows(datagram.agents_without_earlier_flows);
         self.journal
             .write_node_change(NodeAddress { ip: from, role }, change);
--- a/tests/testsuite/forwarded.rs
+++ b/tests/testsuite/forwarded.rs
@@ -5,6 +5,7 @@
 
 use dogwoodrill::forwarded::metrics::SocketCallCounters;
 use dogwoodrill::forwarded::packets::{BATCH_SIZE, Inbox, PacketSocket};
+use dogwoodrill_wire::convert::forwarded::Datagram;
 use prometheus::Registry;
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
@@ -88,6 +89,28 @@
     wait_until_voter(&joining, 3).await;
 }
 
+/// A node that holds the list of nodes is not sent it again until it changes. Its heartbeats come from a plain
+/// socket here.
+#[tokio::test]
+async fn a_control_host_sends_its_list_of_nodes_only_if_it_has_changed() {
+    let (ports, data) = (free_ports(), temp_dirs::<3>());
+    let (seeds, _hosts) = bootstrap_cluster(8, ports, &data).await;
+    let first = HeartbeatSocket::bind(loopback_ip(8, 10), ports).await;
+    let second = HeartbeatSocket::bind(loopback_ip(8, 11), ports).await;
+    let heard = |answer: &Datagram| answer.nodes.iter().map(|n| n.ip).collect::<Vec<_>>();
+
+    let whole = first.exchange(seeds[0], None).await;
+    assert!(heard(&whole).contains(&loopback_ip(8, 10)), "{whole:?}");
+    let held = whole.node_list_hash;
+    let same = first.exchange(seeds[0], held).await;
+    assert_eq!((heard(&same), same.node_list_hash), (Vec::new(), held));
+
+    second.exchange(seeds[0], None).await;
+    let changed = first.exchange(seeds[0], held).await;
+    assert!(heard(&changed).contains(&loopback_ip(8, 11)), "{changed:?}");
+    assert_ne!(changed.node_list_hash, held);
+}
+
 /// All control hosts are killed and restarted with their disks.
 #[tokio::test]
 async fn accepted_document_survives_a_restart_of_all_hosts() {
--- a/tests/testsuite/forwarded/hosts.rs
+++ b/tests/testsuite/forwarded/hosts.rs
@@ -16,17 +16,21 @@
 use dogwoodrill_core::config::{Document, Version};
 use dogwoodrill_core::control_status::ControlRole;
 use dogwoodrill_core::flow::ClusterKey;
-use dogwoodrill_core::forwarded::mesh::NodeAddress;
+use dogwoodrill_core::forwarded::mesh::{BootId, Heartbeat, NodeAddress, ServerPresence};
 use dogwoodrill_core::forwarded::node::{
     AgentSockets, BalancerSockets, ControlHostSettings, NodeRole, NodeSettings, RoleSettings,
 };
+use dogwoodrill_core::forwarded::node_list::NodeListHash;
 use dogwoodrill_core::forwarded::server::{ServerState, ServerStatement};
 use dogwoodrill_core::forwarded::service_map::RouteTable;
-use dogwoodrill_core::ids::Sequence;
+use dogwoodrill_core::ids::{LogIndex, Sequence};
 use dogwoodrill_core::time::UnixMillis;
 use dogwoodrill_platform::document;
 use dogwoodrill_platform::packet::PlatformPacketFormat;
 use dogwoodrill_soak::network::free_port;
+use dogwoodrill_wire::convert::forwarded::Datagram;
+use dogwoodrill_wire::proto::forwarded as wire;
+use prost::Message;
 use tempfile::TempDir;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
@@ -362,6 +366,51 @@
     }
 }
 
+/// A node that consists of the socket for messages between nodes.
+pub struct HeartbeatSocket {
+    socket: UdpSocket,
+    port: u16,
+}
+
+impl HeartbeatSocket {
+    pub async fn bind(ip: Ipv4Addr, ports: Ports) -> Self {
+        let socket = UdpSocket::bind((ip, ports.inner)).await.unwrap();
+        let port = ports.inner;
+        Self { socket, port }
+    }
+
+    /// Sends a heartbeat of a balancer that holds the list `held`, and returns the answer of the host at `to`. The
+    /// host's socket is bound, so the heartbeat is not lost.
+    pub async fn exchange(&self, to: Ipv4Addr, held: Option<NodeListHash>) -> Datagram {
+        let heartbeat = Heartbeat {
+            boot: BootId::new(1),
+            role: NodeRole::Balancer,
+            index: LogIndex::default(),
+            last_seen_age: None,
+            report: None,
+            server_presence: ServerPresence::default(),
+        };
+        let sent = Datagram {
+            node_list_hash: held,
+            ..Datagram::from(heartbeat)
+        };
+        let bytes = wire::Datagram::from(&sent).encode_to_vec();
+        let mut buf = [0; 2048];
+        self.socket.send_to(&bytes, (to, self.port)).await.unwrap();
+        let answered = async {
+            loop {
+                let (len, from) = self.socket.recv_from(&mut buf).await.unwrap();
+                let answer = wire::Datagram::decode(&buf[..len]).unwrap();
+                let answer = Datagram::try_from(answer).unwrap();
+                if from.ip() == to && answer.node_list_hash.is_some() {
+                    return answer;
+                }
+            }
+        };
+        timeout(HANG_GUARD, answered).await.unwrap()
+    }
+}
+
 /// Starts a balancer and waits until it is ready.
 pub async fn start_balancer(
     cx: &Cx,
