Give reports and earlier flows modules of their own

`report` has what nodes tell of themselves and depends on none of the modules that use it; before, `mesh`, `outlier`, `keepers` and `placement` imported each other's types. `node` has the address of a node beside its role. `mesh/earlier_flows` has which agents must deny a lost flow.

--- a/crates/core/src/forwarded.rs
+++ b/crates/core/src/forwarded.rs
@@ -11,8 +11,9 @@
 //! server decides finally on each opening packet ([`gate`]), because it has the current state of its server,
 //! including the share of requests that the server fails ([`outlier`]). It reports each flow that its server
 //! accepts to the flow's keepers. If no keeper knows a flow, a search that queries all agents ([`inquiry`])
-//! finds its holder or proves that there is none. [`mesh`] holds a node's view of the other nodes,
-//! [`service_map`] the configuration in force, and [`packet`] the packet header that the decisions use.
+//! finds its holder or proves that there is none. [`mesh`] holds a node's view of the other nodes, which it learns
+//! from their [`report`]s and from the lists of control hosts ([`node_list`]); [`work_time`] the service time of a
+//! server; [`service_map`] the configuration in force; and [`packet`] the packet header that the decisions use.
 
 pub mod agent;
 pub mod balancer;
@@ -28,6 +29,7 @@
 pub mod packet;
 pub mod placement;
 mod probation;
+pub mod report;
 pub mod server;
 pub mod service_map;
 pub mod waiting;
--- a/crates/core/src/forwarded/agent/location.rs
+++ b/crates/core/src/forwarded/agent/location.rs
@@ -9,9 +9,9 @@
 use crate::forwarded::decision::{Decision, Step};
 use crate::forwarded::inquiry::Denial;
 use crate::forwarded::keepers::{FlowLocation, Keepers};
-use crate::forwarded::mesh::ServerPresence;
 use crate::forwarded::node::NodeRole;
 use crate::forwarded::packet::{FlowKey, Header, Purpose, Trail};
+use crate::forwarded::report::ServerPresence;
 
 /// Most hops of a packet between agents; bounds loops between nodes with stale views.
 const MAX_NON_OPENING_HOPS: u8 = 6;
--- a/crates/core/src/forwarded/agent/openings.rs
+++ b/crates/core/src/forwarded/agent/openings.rs
@@ -8,9 +8,9 @@
 use super::{Action, Agent, Disposition, Flow, OPENING_TTL, Redirect, RequestState};
 use crate::forwarded::decision::{Decision, Reason, Step};
 use crate::forwarded::gate::{self, Capacity};
-use crate::forwarded::mesh::ReceivedReport;
 use crate::forwarded::packet::{FlowKey, Header, Purpose, Trail};
 use crate::forwarded::placement::{self, Candidate, ProbePolicy};
+use crate::forwarded::report::ReceivedReport;
 use crate::forwarded::service_map::ServiceLabel;
 use crate::forwarded::waiting::{QueuedOpening, max_queue_time};
 
--- a/crates/core/src/forwarded/balancer.rs
+++ b/crates/core/src/forwarded/balancer.rs
@@ -14,10 +14,11 @@
 
 use super::decision::{Decision, Step};
 use super::keepers::FlowLocation;
-use super::mesh::{Mesh, ReceivedReport};
+use super::mesh::Mesh;
 use super::node::NodeRole;
 use super::packet::{FlowKey, Header, Purpose, Trail};
 use super::placement::{self, ProbePolicy};
+use super::report::ReceivedReport;
 use super::service_map::ServiceMap;
 use crate::ids::AvailabilityZone;
 
--- a/crates/core/src/forwarded/keepers.rs
+++ b/crates/core/src/forwarded/keepers.rs
@@ -11,8 +11,8 @@
 
 use siphasher::sip::SipHasher13;
 
-use super::mesh::BootId;
 use super::packet::FlowKey;
+use super::report::BootId;
 
 /// Points of each agent on the ring; enough for the shares of agents to differ by less than half.
 const POINTS_PER_AGENT: u32 = 16;
--- a/crates/core/src/forwarded/mesh.rs
+++ b/crates/core/src/forwarded/mesh.rs
@@ -9,20 +9,17 @@
 //! learns whether its own packets arrive, and a path that works in one direction only is not used.
 
 use std::collections::BTreeMap;
-use std::hash::Hasher;
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-use derive_more::{Display, From, Into};
-use siphasher::sip::SipHasher13;
-
 use super::confirmation::Confirmation;
-use super::inquiry::AgentSetHash;
 use super::keepers::KeeperRing;
-use super::node::NodeRole;
-use super::outlier::ResponseStats;
+use super::node::{NodeAddress, NodeRole};
+use super::report::{BootId, Heartbeat, ReceivedReport, ServerPresence, ServerReport};
 use super::service_map::ServiceLabel;
-use crate::ids::{AvailabilityZone, LogIndex};
+use crate::ids::LogIndex;
+
+mod earlier_flows;
 
 /// Regular interval between two heartbeats to one node, unless so many nodes are known that
 /// `HEARTBEAT_INTERVAL_PER_NODE` requires a longer one. A failed agent is detected when three of them are
@@ -39,102 +36,10 @@
 /// start together come up within some hundred milliseconds, and until a reply arrives a node knows no other
 /// node.
 const BOOTSTRAP_INTERVAL: Duration = Duration::from_millis(50);
-/// Time without a new agent after which the agents that started together are assumed to be complete. A
-/// starting node is known to all others after one heartbeat to a control host and one to each node; this is
-/// twice that time.
-const STABLE_WINDOW: Duration = Duration::from_millis(150);
 /// Time after which a node is forgotten that neither sends heartbeats nor is listed; far longer than any
 /// network partition that heals within seconds.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
-/// Random number drawn when a process starts, which identifies that run of the process.
-#[derive(Clone, Copy, Debug, Default, Display, Eq, From, Into, PartialEq)]
-#[display("{_0:016x}")]
-pub struct BootId(u64);
-
-impl BootId {
-    /// Creates a boot id from its numeric value.
-    pub const fn new(value: u64) -> Self {
-        Self(value)
-    }
-
-    /// Returns the numeric value.
-    pub const fn get(self) -> u64 {
-        self.0
-    }
-}
-
-/// The state of a backend server, as its agent reports it to other nodes.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ServerReport {
-    /// Service of the server.
-    pub service: ServiceLabel,
-    /// Availability zone of the server.
-    pub zone: AvailabilityZone,
-    /// Whether the server accepts new flows.
-    pub is_accepting: bool,
-    /// Whether the server has just started and is still slow.
-    pub is_cold: bool,
-    /// Number of requests at the server, on their way to it, or queued at its agent.
-    pub busy: u32,
-    /// Expected service time of a request: measured, or until then that of the service's other servers; `None`
-    /// if neither is known.
-    pub work: Option<Duration>,
-    /// Number of flows at the server.
-    pub flows: u32,
-    /// Number of requests that the server processes concurrently.
-    pub slots: u32,
-    /// Statistics of the server's responses, for outlier detection.
-    pub responses: ResponseStats,
-}
-
-/// Whether an agent has a local backend server, and whether it has just started.
-#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
-#[display("vacant {has_no_server}, young {is_recently_started}")]
-pub struct ServerPresence {
-    /// The agent has no local server, so no flow can be open there.
-    pub has_no_server: bool,
-    /// The agent started recently and does not know that its server was running before.
-    pub is_recently_started: bool,
-}
-
-/// The state of its sender that each message between nodes carries.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Heartbeat {
-    /// Id of the sender's process run.
-    pub boot: BootId,
-    /// Role of the sender.
-    pub role: NodeRole,
-    /// Log index of the configuration that the sender holds.
-    pub index: LogIndex,
-    /// Time since the sender last received a packet from the receiver; `None` if it never did.
-    pub last_seen_age: Option<Duration>,
-    /// Report on the sender's backend server, if the sender is an agent.
-    pub report: Option<ServerReport>,
-    /// Presence of the sender's backend server, if the sender is an agent.
-    pub server_presence: ServerPresence,
-}
-
-/// Address and role of a node.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct NodeAddress {
-    /// Address of the host.
-    pub ip: Ipv4Addr,
-    /// Role of the node.
-    pub role: NodeRole,
-}
-
-/// A server report and when it was received.
-#[derive(Clone, Debug)]
-pub struct ReceivedReport {
-    /// The report of the agent.
-    pub report: ServerReport,
-    /// When the report was received.
-    pub received_at: Instant,
-    /// Number of opening packets sent to the agent since.
-    pub sent_since: u32,
-}
-
 /// What this node knows of one other node.
 #[derive(Clone, Debug)]
 pub struct PeerState {
@@ -254,24 +159,6 @@
         }
     }
 
-    /// Notes that control hosts reported these agents as having no earlier flows.
-    pub fn mark_without_earlier_flows(&mut self, agents: impl IntoIterator<Item = Ipv4Addr>) {
-        for ip in agents {
-            if let Some(known) = self.nodes.get_mut(&ip) {
-                known.is_reported_without_earlier_flows = known.last_seen_at.is_none();
-            }
-        }
-    }
-
-    /// Returns the live agents that reported that they had just started or have no local server.
-    pub fn agents_without_earlier_flows(&self, now: Instant) -> impl Iterator<Item = Ipv4Addr> {
-        let live = self.live(now, NodeRole::Agent);
-        let agents = live.filter(|(_, k)| {
-            k.server_presence.is_recently_started || k.server_presence.has_no_server
-        });
-        agents.map(|(ip, _)| ip)
-    }
-
     /// Applies a heartbeat of the node at `from`.
     pub fn on_heartbeat(
         &mut self,
@@ -435,75 +322,6 @@
         self.nodes().filter(|(_, k)| k.role == NodeRole::Agent)
     }
 
-    /// Notes whether this agent's heartbeats tell that no earlier flow can be open at its own server.
-    pub const fn set_own_server_absent(&mut self, is_absent: bool) {
-        self.is_own_server_absent = is_absent;
-    }
-
-    /// Returns a hash of the agents whose server may hold an earlier flow, which all agents must agree on. This
-    /// agent is one of [`Self::deniers`], but is part of the set only if the others count it too.
-    pub fn agent_set_hash(&self) -> AgentSetHash {
-        let counted = |ip: &Ipv4Addr| *ip != self.own.ip || !self.is_own_server_absent;
-        let mut ips: Vec<_> = self.deniers().filter(counted).collect();
-        ips.sort_unstable();
-        let mut hasher = SipHasher13::new();
-        for ip in ips {
-            hasher.write(&ip.octets());
-        }
-        hasher.finish().into()
-    }
-
-    /// Returns the agents, this one included, that must all deny a flow before it counts as open nowhere:
-    /// every agent whose server may hold it. Another agent, live or not, is left out if it last reported that
-    /// it has no local server, or if it took part in a common start and its last heartbeat, if any, carried no
-    /// server report.
-    pub fn deniers(&self) -> impl Iterator<Item = Ipv4Addr> {
-        let has_none = |k: &PeerState| {
-            k.server_presence.has_no_server || (k.has_common_start && k.report.is_none())
-        };
-        let others = self.agents().filter(move |(_, k)| !has_none(k));
-        others.map(|(ip, _)| ip).chain([self.own.ip])
-    }
-
-    /// Whether a control host has replied and no agent has appeared for `STABLE_WINDOW`.
-    pub fn is_membership_stable(&self, now: Instant) -> bool {
-        let Some(control_answered_at) = self.control_answered_at else {
-            return false;
-        };
-        let newest = self.newest_agent_at.unwrap_or(control_answered_at);
-        now >= newest.max(control_answered_at) + STABLE_WINDOW
-    }
-
-    /// Detects a common start of all agents, as after a loss of power everywhere, and returns whether there
-    /// is one: all agents have just started, most of them with servers, and no agent has appeared for a
-    /// while. All earlier flows are then closed. For an agent that this node has never received a packet from,
-    /// the report of the control hosts is used instead: it must say that the agent has no earlier flows. Most
-    /// agents must have reported a server, because a server may outlive its agent: an agent that has restarted
-    /// and whose running server has not reported to it yet cannot be distinguished from one that started
-    /// together with its server.
-    pub fn detect_common_start(&mut self, now: Instant) -> bool {
-        let is_without_earlier_flows = |k: &PeerState| {
-            let ServerPresence {
-                has_no_server,
-                is_recently_started,
-            } = k.server_presence;
-            has_no_server
-                || k.is_reported_without_earlier_flows
-                || (is_recently_started && self.is_recently_seen(now, k))
-        };
-        let are_all_without_earlier_flows = self.agents().all(|(_, k)| is_without_earlier_flows(k));
-        let with_servers = self.agents().filter(|(_, k)| k.report.is_some());
-        let has_server_majority = with_servers.count() * 2 > self.agents().count();
-        if !are_all_without_earlier_flows || !has_server_majority || !self.is_membership_stable(now)
-        {
-            return false;
-        }
-        for known in self.nodes.values_mut() {
-            known.has_common_start = known.role == NodeRole::Agent;
-        }
-        true
-    }
-
     /// Whether a node's heartbeats confirm that it recently received a packet of any kind from this one. A
     /// node that has just appeared has had no opportunity to confirm that and counts as reachable.
     fn is_reachable(&self, now: Instant, known: &PeerState) -> bool {
--- a/crates/core/src/forwarded/node.rs
+++ b/crates/core/src/forwarded/node.rs
@@ -23,6 +23,15 @@
     Control,
 }
 
+/// Address and role of a node.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct NodeAddress {
+    /// Address of the host.
+    pub ip: Ipv4Addr,
+    /// Role of the node.
+    pub role: NodeRole,
+}
+
 /// Socket addresses of a balancer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct BalancerSockets {
--- a/crates/core/src/forwarded/node_list.rs
+++ b/crates/core/src/forwarded/node_list.rs
@@ -12,7 +12,7 @@
 use derive_more::{Display, From, Into};
 use siphasher::sip::SipHasher13;
 
-use super::mesh::NodeAddress;
+use super::node::NodeAddress;
 
 /// Identifies the content of a list of nodes.
 #[derive(Clone, Copy, Debug, Display, Eq, From, Into, PartialEq)]
--- a/crates/core/src/forwarded/outlier.rs
+++ b/crates/core/src/forwarded/outlier.rs
@@ -12,10 +12,8 @@
 
 use std::time::{Duration, Instant};
 
-use derive_more::{Display, From, FromStr, Into};
-
-use super::mesh::ServerReport;
 use super::probation::Probation;
+use super::report::{FailureRate, ResponseBytes, ResponseStats, ServerReport};
 use super::work_time::{NEWEST_SHARE, median};
 
 /// A response counts as a failure if both its service time and its bytes are below the baseline divided by
@@ -25,48 +23,6 @@
 /// without earlier ones exceeds it.
 const MAX_EXCESS_FAILURE_RATE: f64 = 0.25;
 
-/// Number of bytes in the first packet of a response.
-#[derive(
-    Clone, Copy, Debug, Default, Display, Eq, From, FromStr, Into, Ord, PartialEq, PartialOrd,
-)]
-#[display("{_0} B")]
-pub struct ResponseBytes(u16);
-
-/// Share of requests that failed, in thousandths.
-#[derive(
-    Clone, Copy, Debug, Default, Display, Eq, From, FromStr, Into, Ord, PartialEq, PartialOrd,
-)]
-#[display("{_0}‰")]
-pub struct FailureRate(u16);
-
-impl FailureRate {
-    /// Rounds a share between 0 and 1.
-    fn of(share: f64) -> Self {
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "between 0 and 1000"
-        )]
-        Self((share.clamp(0.0, 1.0) * 1000.0).round() as u16)
-    }
-
-    fn get(self) -> f64 {
-        f64::from(self.0) / 1000.0
-    }
-}
-
-/// Statistics of a server's responses, as its agent reports them to other nodes.
-#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
-#[display("{failure_rate} fail")]
-pub struct ResponseStats {
-    /// Mean bytes of responses that were not failures; `None` before the first.
-    pub mean_bytes: Option<ResponseBytes>,
-    /// Moving average of the share of failed requests.
-    pub failure_rate: FailureRate,
-    /// Whether the server is suspended, so that it gets only probes.
-    pub is_suspended: bool,
-}
-
 /// Typical responses of the other servers of a service.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ServiceBaseline {
--- a/crates/core/src/forwarded/placement.rs
+++ b/crates/core/src/forwarded/placement.rs
@@ -17,7 +17,7 @@
 use rand::Rng;
 use rand::seq::IteratorRandom;
 
-use super::mesh::ReceivedReport;
+use super::report::ReceivedReport;
 use super::work_time;
 use crate::ids::AvailabilityZone;
 
--- a/crates/core/src/forwarded/work_time.rs
+++ b/crates/core/src/forwarded/work_time.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use super::mesh::ServerReport;
+use super::report::ServerReport;
 
 /// Assumed service time of a service of which no server is measured; that of quick checks and orders.
 const DEFAULT_WORK: Duration = Duration::from_millis(15);
--- a/crates/core/tests/testsuite/forwarded/keepers.rs
+++ b/crates/core/tests/testsuite/forwarded/keepers.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use dogwoodrill_core::forwarded::keepers::{FlowDirectory, FlowLocation, KeeperRing};
-use dogwoodrill_core::forwarded::mesh::BootId;
 use dogwoodrill_core::forwarded::packet::FlowKey;
+use dogwoodrill_core::forwarded::report::BootId;
 use insta::assert_snapshot;
 
 const TTL: Duration = Duration::from_mins(1);
--- a/crates/core/tests/testsuite/forwarded/node_list.rs
+++ b/crates/core/tests/testsuite/forwarded/node_list.rs
@@ -2,7 +2,7 @@
 
 use std::net::Ipv4Addr;
 
-use dogwoodrill_core::forwarded::mesh::NodeAddress;
+use dogwoodrill_core::forwarded::node::NodeAddress;
 use dogwoodrill_core::forwarded::node::NodeRole;
 use dogwoodrill_core::forwarded::node_list::{NodeListHash, ReceivedNodeLists};
 use rstest::rstest;
--- a/crates/core/tests/testsuite/forwarded/outlier.rs
+++ b/crates/core/tests/testsuite/forwarded/outlier.rs
@@ -2,8 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use dogwoodrill_core::forwarded::mesh::ServerReport;
-use dogwoodrill_core::forwarded::outlier::{OutlierDetector, ResponseStats, ServiceBaseline};
+use dogwoodrill_core::forwarded::outlier::{OutlierDetector, ServiceBaseline};
+use dogwoodrill_core::forwarded::report::ResponseStats;
+use dogwoodrill_core::forwarded::report::ServerReport;
 use rstest::rstest;
 
 use super::world::{Change, Failure, ORDERS_ADDRESS, Outcome, Simulation};
--- a/crates/core/tests/testsuite/forwarded/placing.rs
+++ b/crates/core/tests/testsuite/forwarded/placing.rs
@@ -4,9 +4,9 @@
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-use dogwoodrill_core::forwarded::mesh::{ReceivedReport, ServerReport};
-use dogwoodrill_core::forwarded::outlier::ResponseStats;
 use dogwoodrill_core::forwarded::placement::{self, ProbePolicy};
+use dogwoodrill_core::forwarded::report::ResponseStats;
+use dogwoodrill_core::forwarded::report::{ReceivedReport, ServerReport};
 use dogwoodrill_core::forwarded::service_map::{Route, Target, Weight};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
--- a/crates/core/tests/testsuite/forwarded/servers.rs
+++ b/crates/core/tests/testsuite/forwarded/servers.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use dogwoodrill_core::forwarded::agent::{Agent, Disposition};
-use dogwoodrill_core::forwarded::mesh::{Mesh, NodeAddress};
+use dogwoodrill_core::forwarded::mesh::Mesh;
+use dogwoodrill_core::forwarded::node::NodeAddress;
 use dogwoodrill_core::forwarded::node::NodeRole;
 use dogwoodrill_core::forwarded::packet::{Flags, Header, Purpose, Trail};
 use dogwoodrill_core::forwarded::server::{
--- a/crates/core/tests/testsuite/forwarded/work_time.rs
+++ b/crates/core/tests/testsuite/forwarded/work_time.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use dogwoodrill_core::forwarded::mesh::ServerReport;
-use dogwoodrill_core::forwarded::outlier::ResponseStats;
+use dogwoodrill_core::forwarded::report::ResponseStats;
+use dogwoodrill_core::forwarded::report::ServerReport;
 use dogwoodrill_core::forwarded::work_time::{PeerWorkTimes, WorkTime};
 use rstest::rstest;
 
--- a/crates/core/tests/testsuite/forwarded/world.rs
+++ b/crates/core/tests/testsuite/forwarded/world.rs
@@ -17,11 +17,11 @@
 use dogwoodrill_core::forwarded::decision::{Decision, Reason, Step};
 use dogwoodrill_core::forwarded::inquiry::Denial;
 use dogwoodrill_core::forwarded::keepers::FlowLocation;
-use dogwoodrill_core::forwarded::mesh::{
-    BootId, Heartbeat, Mesh, NodeAddress, ServerPresence, ServerReport,
-};
+use dogwoodrill_core::forwarded::mesh::Mesh;
+use dogwoodrill_core::forwarded::node::NodeAddress;
 use dogwoodrill_core::forwarded::node::NodeRole;
 use dogwoodrill_core::forwarded::packet::{Flags, FlowKey, Header, Purpose, Trail};
+use dogwoodrill_core::forwarded::report::{BootId, Heartbeat, ServerPresence, ServerReport};
 use dogwoodrill_core::forwarded::server::{ServerState, ServerStatement};
 use dogwoodrill_core::forwarded::service_map::{
     RequestPolicy, RequestRate, Route, RouteTable, ServiceLabel, ServiceMap, ServicePolicy, Target,
--- a/src/forwarded/agent.rs
+++ b/src/forwarded/agent.rs
@@ -9,9 +9,11 @@
 
 use dogwoodrill_core::forwarded::agent::{Action, Agent, Disposition};
 use dogwoodrill_core::forwarded::keepers::FlowLocation;
-use dogwoodrill_core::forwarded::mesh::{Heartbeat, Mesh, NodeAddress, ServerReport};
+use dogwoodrill_core::forwarded::mesh::Mesh;
+use dogwoodrill_core::forwarded::node::NodeAddress;
 use dogwoodrill_core::forwarded::node::{AgentSockets, NodeSettings};
 use dogwoodrill_core::forwarded::packet::Header;
+use dogwoodrill_core::forwarded::report::{Heartbeat, ServerReport};
 use dogwoodrill_core::forwarded::server::{ServerStatement, StatementOutcome};
 use dogwoodrill_wire::convert::forwarded::Datagram;
 use tokio::net::TcpStream;
--- a/src/forwarded/balancer.rs
+++ b/src/forwarded/balancer.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use dogwoodrill_core::forwarded::balancer::{Balancer, Disposition};
-use dogwoodrill_core::forwarded::mesh::{Mesh, NodeAddress};
+use dogwoodrill_core::forwarded::mesh::Mesh;
+use dogwoodrill_core::forwarded::node::NodeAddress;
 use dogwoodrill_core::forwarded::node::{BalancerSockets, NodeSettings};
 use dogwoodrill_core::forwarded::packet::Header;
 use tokio::sync::watch;
--- a/src/forwarded/datagrams.rs
+++ b/src/forwarded/datagrams.rs
@@ -4,11 +4,11 @@
 use std::time::{Duration, Instant};
 
 use dogwoodrill_core::forwarded::keepers::FlowLocation;
-use dogwoodrill_core::forwarded::mesh::{
-    BootId, Heartbeat, Mesh, NodeAddress, ServerPresence, ServerReport,
-};
+use dogwoodrill_core::forwarded::mesh::Mesh;
+use dogwoodrill_core::forwarded::node::NodeAddress;
 use dogwoodrill_core::forwarded::node::NodeSettings;
 use dogwoodrill_core::forwarded::node_list::{NodeListHash, ReceivedNodeLists};
+use dogwoodrill_core::forwarded::report::{BootId, Heartbeat, ServerPresence, ServerReport};
 use dogwoodrill_core::ids::LogIndex;
 use dogwoodrill_wire::convert::ConvertError;
 use dogwoodrill_wire::convert::forwarded::Datagram;
--- a/src/forwarded/journal.rs
+++ b/src/forwarded/journal.rs
@@ -9,7 +9,8 @@
 use std::thread;
 
 use dogwoodrill_core::forwarded::decision::Decision;
-use dogwoodrill_core::forwarded::mesh::{NodeAddress, PeerChange};
+use dogwoodrill_core::forwarded::mesh::PeerChange;
+use dogwoodrill_core::forwarded::node::NodeAddress;
 use serde::Serialize;
 
 use crate::context::wall_clock;
