Feed damaged messages to every decoder of messages, calls and documents

Each message that the wire tests encode is decoded again truncated at every byte, with every bit inverted, and with an excessive length at every byte. Not covered: a bound on what a decoder allocates, and the decoders of the disk, which `acknowledged_writes_survive_a_disk_failure_at_any_operation` and `a_flipped_bit_is_always_reported_as_damage` cover.

--- a/crates/wire/tests/testsuite/claims.rs
+++ b/crates/wire/tests/testsuite/claims.rs
@@ -13,8 +13,11 @@
 use dogwoodrill_core::time::UnixMillis;
 use dogwoodrill_wire::convert::claims::{copy_from_pages, copy_to_pages};
 use dogwoodrill_wire::proto::claims as wire;
+use prost::Message as _;
 use rstest::rstest;
 
+use crate::damage::survives_damage;
+
 const RUN: RunId = RunId {
     server: BackendServerId::new(3),
     incarnation: Incarnation::new(4),
@@ -61,6 +64,7 @@
         operation,
     };
     let message = wire::ClaimRequest::new(ServiceId::new(1), &request);
+    survives_damage::<wire::ClaimRequest, ClaimRequest>(&message.encode_to_vec());
     assert_eq!(ClaimRequest::try_from(message).unwrap(), request);
 }
 
@@ -81,6 +85,7 @@
         answer,
     };
     let message = wire::ClaimReply::from(&reply);
+    survives_damage::<wire::ClaimReply, ClaimReply>(&message.encode_to_vec());
     assert_eq!(ClaimReply::try_from(message).unwrap(), reply);
 }
 
--- a/crates/wire/tests/testsuite/control.rs
+++ b/crates/wire/tests/testsuite/control.rs
@@ -14,6 +14,8 @@
 use prost::Message as _;
 use rstest::rstest;
 
+use crate::damage::survives_damage;
+
 const START: UnixMillis = UnixMillis::new(1_800_000_000_000);
 
 fn zone(version: u64) -> ZoneState {
@@ -59,12 +61,14 @@
         let wire = consensus::Command::from(&command).encode_to_vec();
         let read = consensus::Command::decode(&*wire).unwrap();
         assert_eq!(Command::try_from(read).unwrap(), command);
+        survives_damage::<consensus::Command, Command>(&wire);
         drop(state.apply(u64::from(n).into(), command));
     }
     let wire = consensus::State::from(&state).encode_to_vec();
     let read = consensus::State::decode(&*wire).unwrap();
     assert_eq!(state.answered.len(), 4);
     assert_eq!(ControlState::try_from(read).unwrap(), state);
+    survives_damage::<consensus::State, ControlState>(&wire);
 }
 
 fn entry(index: u64, payload: Payload) -> Entry {
@@ -123,6 +127,7 @@
     let wire = consensus::Envelope::from(sent.clone()).encode_to_vec();
     let read = consensus::Envelope::decode(&*wire).unwrap();
     assert_eq!(Envelope::try_from(read).unwrap(), sent);
+    survives_damage::<consensus::Envelope, Envelope>(&wire);
 }
 
 #[test]
--- a/crates/wire/tests/testsuite/forwarded.rs
+++ b/crates/wire/tests/testsuite/forwarded.rs
@@ -20,6 +20,8 @@
 use prost::Message;
 use rstest::rstest;
 
+use crate::damage::survives_damage;
+
 fn heartbeat(role: NodeRole) -> Heartbeat {
     Heartbeat {
         boot: BootId::new(u64::MAX),
@@ -83,6 +85,7 @@
     let bytes = wire::Datagram::from(&sent).encode_to_vec();
     let read = wire::Datagram::decode(&*bytes).unwrap();
     assert_eq!(Datagram::try_from(read).unwrap(), sent);
+    survives_damage::<wire::Datagram, Datagram>(&bytes);
 }
 
 /// A datagram with 40 flow locations stays at or below 1,400 bytes, so that it is not fragmented.
@@ -136,6 +139,7 @@
     let bytes = wire::ServiceMap::from(&sent).encode_to_vec();
     let read = wire::ServiceMap::decode(&*bytes).unwrap();
     assert_eq!(ServiceMap::try_from(read).unwrap(), sent);
+    survives_damage::<wire::ServiceMap, ServiceMap>(&bytes);
 }
 
 #[rstest]
--- a/crates/wire/tests/testsuite/main.rs
+++ b/crates/wire/tests/testsuite/main.rs
@@ -2,5 +2,6 @@
 
 mod claims;
 mod control;
+mod damage;
 mod forwarded;
 mod spread;
--- a/crates/wire/tests/testsuite/spread.rs
+++ b/crates/wire/tests/testsuite/spread.rs
@@ -18,8 +18,11 @@
 use dogwoodrill_spread::suspicion::Observation;
 use dogwoodrill_wire::proto::spread as wire;
 use dogwoodrill_wire::proto::spread::frame::Body;
+use prost::Message as _;
 use rstest::rstest;
 
+use crate::damage::survives_damage;
+
 fn zone() -> AvailabilityZone {
     "pando".parse().unwrap()
 }
@@ -105,6 +108,7 @@
 #[case::progress(Message::Progress(progress()))]
 fn messages_round_trip(#[case] message: Message) {
     let frame = wire::Frame::from(&message);
+    survives_damage::<wire::Frame, Message>(&frame.encode_to_vec());
     assert_eq!(Message::try_from(frame).unwrap(), message);
 }
 
