Split the agent by what it decides

`agent/search` has the searches for flows that no keeper knows, `agent/requests` the requests at the server, `agent/server_packets` what the server sends and hands back, `agent/action` the effects. No behaviour changes.

--- a/crates/core/src/forwarded/agent.rs
+++ b/crates/core/src/forwarded/agent.rs
@@ -10,8 +10,9 @@
 //! number that *this* server sent. A flow that may be open is never reset: the agent resets a flow only when
 //! it knows that the server incarnation which held it has ended.
 //!
-//! `agent/openings.rs` decides on opening packets; `agent/location.rs` finds the agent of a packet whose flow
-//! is not here, and `agent/life.rs` handles starts and ends of the server.
+//! `agent/openings.rs` decides on opening packets, `agent/server_packets.rs` handles what the server sends, and
+//! `agent/requests.rs` tracks the requests at the server. `agent/location.rs` finds the agent of a packet whose flow is not here; `agent/search.rs` searches for a flow
+//! that no keeper knows. `agent/life.rs` handles starts and ends of the server.
 
 use std::collections::{HashMap, VecDeque};
 use std::net::Ipv4Addr;
@@ -22,33 +23,33 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use super::decision::{Decision, Reason, Step};
+use super::decision::Decision;
 use super::gate::ColdBudget;
-use super::inquiry::{Denial, FlowSearches};
-use super::keepers::{FlowDirectory, FlowLocation};
+use super::inquiry::FlowSearches;
+use super::keepers::FlowDirectory;
 use super::mesh::Mesh;
 use super::outlier::{OutlierDetector, ServiceBaseline};
-use super::packet::{Flags, FlowKey, Header, Purpose, Trail};
+use super::packet::{FlowKey, Header};
 use super::report::ServerReport;
 use super::server::Server;
 use super::service_map::ServiceMap;
 use super::waiting::AdmissionQueue;
 use super::work_time::{PeerWorkTimes, WorkTime};
 
+mod action;
 mod flow;
 mod life;
 mod location;
 mod openings;
+mod requests;
+mod search;
+mod server_packets;
 
+pub use action::{Action, Disposition};
 use flow::{BouncedFlow, Flow, IDLE_TTL, OPENING_TTL, RequestState};
 
-/// Time in which a caller sends its request once the flow is open: a round trip, and the retransmission of a
-/// lost packet.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which a request no longer counts as running, even if the server has not answered it.
 const WORK_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time for which a flow is remembered after both ends have closed it, to handle retransmitted packets.
-const ENDED_TTL: Duration = Duration::from_secs(10);
 /// Queries that an agent sends per tick in searches for unknown flows, one for each agent and flow. Limits
 /// the cost of packets of flows that never existed. A search always queries all agents, so a single one may
 /// exceed the limit.
@@ -59,70 +60,6 @@
 /// opening flow is attributed to this server; other sequence numbers belong to other servers.
 const ACK_WINDOW: u32 = 1 << 20;
 
-/// What is done with a packet.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Disposition {
-    /// Deliver it to the agent's backend server.
-    Deliver,
-    /// Return it to the caller.
-    Return,
-    /// Forward it to another agent with this trail.
-    Forward {
-        /// Address of the agent.
-        to: Ipv4Addr,
-        /// Trail to set on the packet.
-        trail: Trail,
-    },
-    /// Drop it.
-    Drop,
-}
-
-/// An effect beyond the disposition of the current packet.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Action {
-    /// Forward a stored packet to another agent.
-    Forward {
-        /// Address of the agent.
-        to: Ipv4Addr,
-        /// Trail to set on the packet.
-        trail: Trail,
-        /// The stored packet.
-        packet: Bytes,
-    },
-    /// Deliver a stored packet to the backend server.
-    Deliver(Bytes),
-    /// Reset a flow.
-    Reset {
-        /// The flow to reset.
-        flow: FlowKey,
-        /// Sequence number that the caller expects next.
-        seq: u32,
-    },
-    /// Send the location of a flow to a balancer at once.
-    NotifyBalancer {
-        /// Address of the balancer.
-        to: Ipv4Addr,
-        /// Location of the flow.
-        location: FlowLocation,
-    },
-    /// Send the location of a flow to a keeper; may be batched.
-    NotifyKeeper {
-        /// Address of the keeper.
-        to: Ipv4Addr,
-        /// Location of the flow.
-        location: FlowLocation,
-    },
-    /// Reply to an agent that searches for a flow that its server does not hold it.
-    Deny {
-        /// Address of the searching agent.
-        to: Ipv4Addr,
-        /// The negative reply.
-        denial: Denial,
-    },
-    /// Check whether a process listens at the server's port.
-    CheckPort,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Redirect {
     to: Ipv4Addr,
@@ -367,159 +304,6 @@
         Disposition::Deliver
     }
 
-    /// Handles a packet that the server sent or bounced.
-    pub fn on_server_packet(&mut self, now: Instant, header: &Header) -> Disposition {
-        if header.flags.has(Flags::BOUNCED) {
-            return self.on_bounced(now, header);
-        }
-        self.server.on_packet();
-        let key = header.server_flow();
-        if header.flags.has(Flags::RST) && self.is_being_searched(key) {
-            return self.on_foreign_reset(now, key);
-        }
-        if !self.flows.contains_key(&key) {
-            let trail = Trail::from_balancer(Ipv4Addr::UNSPECIFIED, Purpose::Placed);
-            let incarnation = self.server.incarnation();
-            let forget_at = now + IDLE_TTL;
-            let flow = Flow::assumed_open(incarnation, trail, header.seq, header.ack, forget_at);
-            self.flows.insert(key, flow);
-        }
-        let Some(flow) = self.flows.get_mut(&key) else {
-            return Disposition::Return;
-        };
-        flow.forget_at = flow.forget_at.max(now + OPENING_TTL);
-        flow.opening = None;
-        flow.searched_by = None;
-        let had_ended = flow.server_ended;
-        flow.server_ended |= header.flags.is_ending();
-        if flow.server_seq.is_none() {
-            flow.server_seq = Some(header.seq);
-            flow.answered_at = Some(now);
-            let trail = flow.trail;
-            self.notify_keepers(key);
-            self.notify_balancer(key, trail);
-        }
-        if header.flags.has(Flags::SYN) {
-            let until = now + REQUEST_TIMEOUT;
-            self.request_deadlines.push_back((until, key));
-            self.extend_request_deadline(key, until);
-        }
-        if header.len > 0 {
-            self.on_answer(now, key, header.len);
-        } else if header.flags.has(Flags::RST) && !had_ended {
-            self.on_reset(now, key);
-        }
-        if header.flags.is_ending() {
-            self.end(now, key);
-        }
-        self.admit(now);
-        Disposition::Return
-    }
-
-    fn is_being_searched(&self, key: FlowKey) -> bool {
-        let flow = self.flows.get(&key);
-        flow.is_some_and(|f| f.searched_by.is_some())
-    }
-
-    /// Handles a reset, by the server, of a flow that this agent only received in a search and that may be
-    /// open at another server. The reset shows that this server does not hold the flow, so it must not reach
-    /// the caller.
-    fn on_foreign_reset(&mut self, now: Instant, key: FlowKey) -> Disposition {
-        self.record_bounced(now, key);
-        if let Some(searcher) = self.remove(key).and_then(|f| f.searched_by) {
-            self.deny(now, searcher, key);
-        }
-        self.record_decision(Decision::new(Step::Bounced, key, self.map.index));
-        Disposition::Drop
-    }
-
-    /// Handles the first bytes of a response: the server has completed the request.
-    fn on_answer(&mut self, now: Instant, key: FlowKey, bytes: u16) {
-        let work = self.flows.get(&key).map(|f| f.request_state);
-        if let Some(RequestState::Running {
-            since, concurrent, ..
-        }) = work
-        {
-            let took = now.saturating_duration_since(since);
-            // Failed requests are left out of the mean service time, because they complete too quickly.
-            if self.outlier.on_answer(now, took, bytes) {
-                self.work.record(took, concurrent, self.slots());
-            }
-        }
-        self.set_request_state(key, RequestState::Idle);
-    }
-
-    /// Handles a reset of a flow that the server had not ended. If a request was running, the reset counts as
-    /// a failed request.
-    fn on_reset(&mut self, now: Instant, key: FlowKey) {
-        let flow = self.flows.get(&key);
-        if flow.is_some_and(|f| f.request_state.is_running()) {
-            self.outlier.on_reset(now);
-        }
-    }
-
-    fn extend_request_deadline(&mut self, key: FlowKey, deadline: Instant) {
-        if let Some(RequestState::Expected { until }) =
-            self.flows.get_mut(&key).map(|f| &mut f.request_state)
-        {
-            *until = deadline;
-        }
-    }
-
-    /// Handles a packet that the server bounced: an opening packet that it does not accept, or a packet of a
-    /// flow that it does not hold.
-    fn on_bounced(&mut self, now: Instant, header: &Header) -> Disposition {
-        let key = header.caller_flow();
-        let removed = self.remove(key);
-        self.record_decision(Decision {
-            busy: Some(self.busy),
-            ..Decision::new(Step::Bounced, key, self.map.index)
-        });
-        if !header.flags.is_opening() {
-            self.record_bounced(now, key);
-            if let Some(searcher) = removed.as_ref().and_then(|f| f.searched_by) {
-                self.deny(now, searcher, key);
-            }
-            // A server never forgets a flow that it answered and did not end, so it must have restarted.
-            if let Some(flow) = removed.filter(|f| f.server_seq.is_some() && !f.server_ended) {
-                self.reset_flow(key, &flow);
-            }
-            return Disposition::Drop;
-        }
-        let trail = Trail {
-            balancer: header.trail.balancer,
-            hops: removed.map_or(0, |f| f.trail.hops),
-            purpose: Purpose::Placed,
-        };
-        let header = Header { trail, ..*header };
-        self.redirect_or_refuse(now, self.mesh.own().ip, &header, Reason::Busy)
-    }
-
-    fn set_request_state(&mut self, key: FlowKey, request_state: RequestState) {
-        let Some(flow) = self.flows.get_mut(&key) else {
-            return;
-        };
-        let before = std::mem::replace(&mut flow.request_state, request_state);
-        if !request_state.is_pending() {
-            flow.request = None;
-        }
-        self.busy =
-            self.busy + u32::from(request_state.is_pending()) - u32::from(before.is_pending());
-        let left = u32::from(before.is_running());
-        self.running = self.running + u32::from(request_state.is_running()) - left;
-    }
-
-    /// Handles the end of a flow by one side or both.
-    fn end(&mut self, now: Instant, key: FlowKey) {
-        self.set_request_state(key, RequestState::Idle);
-        if let Some(flow) = self.flows.get_mut(&key)
-            && flow.caller_ended
-            && flow.server_ended
-        {
-            flow.forget_at = now + ENDED_TTL;
-        }
-    }
-
     fn remove(&mut self, key: FlowKey) -> Option<Flow> {
         let flow = self.flows.remove(&key)?;
         self.busy -= u32::from(flow.request_state.is_pending());
@@ -550,18 +334,6 @@
         }
     }
 
-    fn expire_request_deadlines(&mut self, now: Instant) {
-        while let Some((at, key)) = self.request_deadlines.front().copied()
-            && at <= now
-        {
-            self.request_deadlines.pop_front();
-            let flow = self.flows.get(&key);
-            if flow.is_some_and(|f| f.request_state.is_overdue(now)) {
-                self.set_request_state(key, RequestState::Idle);
-            }
-        }
-    }
-
     fn sweep(&mut self, now: Instant) {
         self.mesh.on_tick(now);
         self.compare_with_peers(now);
--- a/crates/core/src/forwarded/work_time.rs
+++ b/crates/core/src/forwarded/work_time.rs
@@ -69,17 +69,14 @@
 
 impl PeerWorkTimes {
     /// Returns the medians of the values that the agents of a service report.
-    pub fn of<'a>(reports: impl Iterator<Item = &'a ServerReport> + Clone) -> Self {
-        let median_of = |is_cold| {
-            // A report without a response repeats what its agent knows from others.
-            let measured = reports
-                .clone()
-                .filter(|r| r.is_cold == is_cold && r.responses.mean_bytes.is_some());
-            median(measured.filter_map(|r| r.work))
-        };
+    pub fn of<'a>(reports: impl Iterator<Item = &'a ServerReport>) -> Self {
+        // A report without a response repeats what its agent knows from others.
+        let measured = reports.filter(|r| r.responses.mean_bytes.is_some());
+        let (cold, warm): (Vec<_>, Vec<_>) = measured.partition(|r| r.is_cold);
+        let median_of = |reports: Vec<&ServerReport>| median(reports.iter().filter_map(|r| r.work));
         Self {
-            warm: median_of(false),
-            cold: median_of(true),
+            warm: median_of(warm),
+            cold: median_of(cold),
         }
     }
 
--- a/crates/core/tests/testsuite/forwarded/load.rs
+++ b/crates/core/tests/testsuite/forwarded/load.rs
@@ -133,18 +133,18 @@
 /// default. The new servers must not count as three times as fast until they are measured.
 #[rstest]
 fn replaced_servers_get_no_more_than_they_can_complete_in_time(#[values(1, 2, 3)] seed: u64) {
-    const SERVERS: usize = 9;
+    const SERVERS: u32 = 9;
     const WORK: Duration = Duration::from_millis(45);
     const TARGET: Duration = Duration::from_millis(300);
-    let mut simulation = Simulation::new(seed, SERVERS, 0, 4);
+    let mut simulation = Simulation::new(seed, SERVERS as usize, 0, 4);
     simulation.set_target(TARGET);
-    for n in 0..SERVERS / 3 {
+    for n in 0..SERVERS as usize / 3 {
         simulation.at(1000 * MS, Change::Drain(n));
         simulation.at(1800 * MS, Change::SlowServer(n, 2));
         simulation.at(1800 * MS, Change::StartServer(n));
         simulation.at(3800 * MS, Change::SlowServer(n, 1));
     }
-    let capacity = SERVERS as f64 * 2.0 / WORK.as_secs_f64();
+    let capacity = f64::from(SERVERS) * 2.0 / WORK.as_secs_f64();
     simulation.calls_of(4000 * MS, 0.55 * capacity, ORDERS_ADDRESS, WORK);
     simulation.run_for(6000 * MS);
     let served = simulation.served_within(TARGET);
