Deny lost flows without asking the server after a common start

Change: a common start counts as having observed all flows, also beside a server that has not reported. Packets that a keeper or a balancer sends to the agent of such a server are still delivered.

--- a/crates/core/src/forwarded/agent/search.rs
+++ b/crates/core/src/forwarded/agent/search.rs
@@ -173,9 +173,13 @@
         now < self.started_at + RECENT_START_WINDOW && !self.server.was_running_before_agent()
     }
 
-    /// Whether the agent has observed every flow that can be open at its server.
+    /// Whether the agent has observed every flow that can be open at its server. After a common start it has, even
+    /// if the server has not reported, because the server can only have accepted flows through it since.
     pub(super) fn knows_all_flows(&self, now: Instant) -> bool {
-        self.server.is_fully_observed() || self.has_ended() || self.is_older_than_flows(now)
+        self.has_common_start
+            || self.server.is_fully_observed()
+            || self.has_ended()
+            || self.is_older_than_flows(now)
     }
 
     /// Whether every flow from before the agent's start has exceeded the maximum flow age.
--- a/crates/core/tests/testsuite/forwarded/faults.rs
+++ b/crates/core/tests/testsuite/forwarded/faults.rs
@@ -357,7 +357,8 @@
 }
 
 /// After a power failure of all hosts, the agents of three draining servers run on without a report of their
-/// servers. Packets of lost flows reach them as keepers, and their searches must end like those of others.
+/// servers. Packets of lost flows reach them as keepers, and their searches must end like those of others. No
+/// server is queried, since all agents know that no earlier flow is open.
 #[rstest]
 fn lost_flows_are_reset_though_agents_without_a_server_search(#[values(1, 2, 3)] seed: u64) {
     let mut simulation = Simulation::new(seed, 7, 3, 2);
@@ -365,6 +366,7 @@
     lose_all_power(&mut simulation, &[2, 5, 8]);
     simulation.at(2500 * MS, Change::AddBalancer);
     simulation.run_for(2500 * MS + 500 * MS);
+    assert_eq!(simulation.steps.get(&(Step::Bounced, None)), None);
     assert_eq!(
         reset_count(&simulation),
         flows.len(),
