--- a/crates/core/tests/testsuite/forwarded/faults.rs
+++ b/crates/core/tests/testsuite/forwarded/faults.rs
@@ -380,6 +380,40 @@
     );
 }
 
+/// An agent is told to stop while its server is full and openings wait, and ends 800 ms later. Openings that
+/// wait, and those that are still on their way to it, must be served by other servers or refused; requests
+/// that its server has begun must be answered.
+#[rstest]
+fn an_agent_that_stops_under_load_leaves_no_call_without_an_answer(#[values(1, 2, 3)] seed: u64) {
+    const STOP: Duration = Duration::from_millis(1000);
+    const END: Duration = Duration::from_millis(1800);
+    let mut simulation = Simulation::new(seed, 7, 0, 4);
+    let began_at = simulation.now;
+    simulation.calls(Duration::from_secs(3), 1000.0, ORDERS_ADDRESS);
+    simulation.at(STOP, Change::StopAgent(0));
+    simulation.at(END, Change::KillAgent(0));
+    simulation.run_for(Duration::from_secs(6));
+    let waited = simulation.steps.get(&(Step::Waits, None)).copied();
+    assert!(waited > Some(100), "the load is too small: {waited:?}");
+    let unanswered = simulation
+        .callers
+        .values()
+        .filter(|c| !matches!(c.outcome, Some(Outcome::Answered | Outcome::Refused)));
+    let unanswered: Vec<_> = unanswered
+        .map(|c| (c.started_at - began_at, c.outcome))
+        .collect();
+    assert_eq!(unanswered, []);
+    // What the agent delivered before takes one hop.
+    let late = simulation.servers[0].openings.iter();
+    let late = late.filter(|at| **at > began_at + STOP + MS).count();
+    assert_eq!(late, 0, "openings after the stop");
+    assert!(
+        simulation.violations.is_empty(),
+        "{:?}",
+        simulation.violations
+    );
+}
+
 /// Hosts return one after the other, so that the first agents count as knowing all others before all are
 /// there. One whose server was draining fails before it could report that it has no local server. The common
 /// start must still be detected.
--- a/crates/core/tests/testsuite/forwarded/world.rs
+++ b/crates/core/tests/testsuite/forwarded/world.rs
@@ -115,6 +115,8 @@
 pub enum Change {
     KillAgent(usize),
     StartAgent(usize),
+    /// The agent is told to stop, and runs on for a while.
+    StopAgent(usize),
     CrashServer(usize),
     FreezeServer(usize, bool),
     StartServer(usize),
@@ -1225,6 +1227,11 @@
         match change {
             Change::KillAgent(n) => self.agents[n].core = None,
             Change::StartAgent(n) => self.start_agent(n),
+            Change::StopAgent(n) => {
+                if let Some(core) = &mut self.agents[n].core {
+                    core.stop();
+                }
+            }
             Change::CrashServer(n) => self.servers[n].crash(),
             Change::FreezeServer(n, frozen) => self.servers[n].is_frozen = frozen,
             Change::StartServer(n) => {
--- a/tests/testsuite/promises.rs
+++ b/tests/testsuite/promises.rs
@@ -19,8 +19,14 @@
     let page = std::fs::read_to_string(root.join("docs/PROMISES.md")).unwrap();
     let mut tests = String::new();
     sources(&root.join("tests"), &mut tests);
-    for name in ["core", "spread", "consensus"] {
-        sources(&root.join("crates").join(name).join("tests"), &mut tests);
+    for folder in [
+        "crates/core",
+        "crates/spread",
+        "crates/consensus",
+        "crates/wire",
+        "platform",
+    ] {
+        sources(&root.join(folder).join("tests"), &mut tests);
     }
     let lines = page.lines().filter_map(|l| l.strip_prefix("- `"));
     let named: Vec<_> = lines.map(|l| l.trim_end_matches('`')).collect();
