--- a/crates/core/tests/testsuite/forwarded/faults.rs
+++ b/crates/core/tests/testsuite/forwarded/faults.rs
@@ -50,11 +50,7 @@
     }
     simulation.run_for(Duration::from_secs(5));
     assert_all_answered(&simulation);
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_no_violations(&simulation);
     assert!(
         simulation.steps.contains_key(&(Step::AskedKeeper, None)),
         "no keeper was queried"
@@ -73,11 +69,7 @@
     simulation.at(210 * MS, Change::RemoveBalancer(0));
     simulation.run_for(Duration::from_secs(5));
     assert_all_answered(&simulation);
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_no_violations(&simulation);
 }
 
 #[rstest]
@@ -107,11 +99,7 @@
     simulation.at(10 * MS, Change::RemoveBalancer(1));
     simulation.run_for(Duration::from_secs(5));
     assert_all_answered(&simulation);
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_no_violations(&simulation);
 }
 
 #[rstest]
@@ -121,11 +109,7 @@
     restart_all(&mut simulation);
     simulation.run_for(Duration::from_secs(5));
     assert_all_answered(&simulation);
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_no_violations(&simulation);
 }
 
 /// The paused server answers late. Whichever server's answer the caller acknowledges, the flow belongs to
@@ -145,11 +129,7 @@
     }
     simulation.run_for(Duration::from_secs(4));
     assert_all_answered(&simulation);
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_no_violations(&simulation);
     assert!(
         simulation.steps.contains_key(&(Step::Unanswered, None)),
         "no opening packet was left unanswered"
@@ -178,11 +158,7 @@
         Some(&flows_there)
     );
     assert_eq!(simulation.outcomes().get(&Some(Outcome::GaveUp)), None);
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_no_violations(&simulation);
 }
 
 fn reset_count(simulation: &Simulation) -> usize {
@@ -190,6 +166,20 @@
     resets.unwrap_or(0)
 }
 
+/// Checks how many callers were told that their flow has ended.
+fn assert_resets(simulation: &Simulation, expected: usize) {
+    assert_eq!(reset_count(simulation), expected, "{:?}", simulation.steps);
+    assert_no_violations(simulation);
+}
+
+fn assert_no_violations(simulation: &Simulation) {
+    assert!(
+        simulation.violations.is_empty(),
+        "{:?}",
+        simulation.violations
+    );
+}
+
 /// A host loses power and restarts without knowledge of the flows that were open there, while balancers and
 /// keepers still send their packets to it.
 #[rstest]
@@ -213,11 +203,7 @@
     );
     simulation.run_for(Duration::from_secs(4));
     assert_eq!(simulation.outcomes().get(&Some(Outcome::GaveUp)), None);
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_no_violations(&simulation);
 }
 
 /// All hosts lose power at once.
@@ -229,17 +215,7 @@
     simulation.at(100 * MS, Change::AddBalancer);
     // One second after their start agents assume that they know each other.
     simulation.run_for(100 * MS + Duration::from_secs(1) + 250 * MS);
-    assert_eq!(
-        reset_count(&simulation),
-        flows.len(),
-        "{:?}",
-        simulation.steps
-    );
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_resets(&simulation, flows.len());
 }
 
 /// A search queries all agents, whatever the size of the fleet.
@@ -258,17 +234,7 @@
     simulation.at(Duration::ZERO, Change::LosePower(lost));
     simulation.at(300 * MS, Change::RegainPower(lost));
     simulation.run_for(Duration::from_millis(1500));
-    assert_eq!(
-        reset_count(&simulation),
-        flows_there,
-        "{:?}",
-        simulation.steps
-    );
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_resets(&simulation, flows_there);
 }
 
 /// Cuts the power of all hosts. Their agents start again after 100 ms. Hosts in `leaving` have a server that
@@ -305,17 +271,7 @@
     lose_all_power(&mut simulation, &[]);
     simulation.at(100 * MS, Change::AddBalancer);
     simulation.run_for(100 * MS + 250 * MS + 250 * MS + 200 * MS);
-    assert_eq!(
-        reset_count(&simulation),
-        flows.len(),
-        "{:?}",
-        simulation.steps
-    );
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_resets(&simulation, flows.len());
 }
 
 /// After a power failure of all hosts, agents of draining servers start and then fail without a leave notice,
@@ -330,17 +286,7 @@
     }
     simulation.at(packets_from_ms * MS, Change::AddBalancer);
     simulation.run_for(packets_from_ms * MS + 500 * MS);
-    assert_eq!(
-        reset_count(&simulation),
-        flows.len(),
-        "{:?}",
-        simulation.steps
-    );
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_resets(&simulation, flows.len());
 }
 
 /// The agents have had the time to report that they have no local server.
@@ -367,17 +313,7 @@
     simulation.at(2500 * MS, Change::AddBalancer);
     simulation.run_for(2500 * MS + 500 * MS);
     assert_eq!(simulation.steps.get(&(Step::Bounced, None)), None);
-    assert_eq!(
-        reset_count(&simulation),
-        flows.len(),
-        "{:?}",
-        simulation.steps
-    );
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_resets(&simulation, flows.len());
 }
 
 /// An agent is told to stop while its server is full and openings wait, and ends 800 ms later. Openings that
@@ -407,11 +343,7 @@
     let late = simulation.servers[0].openings.iter();
     let late = late.filter(|at| **at > began_at + STOP + MS).count();
     assert_eq!(late, 0, "openings after the stop");
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_no_violations(&simulation);
 }
 
 /// Hosts return one after the other, so that the first agents count as knowing all others before all are
@@ -425,17 +357,7 @@
     simulation.at(1500 * MS, Change::LosePower(2));
     simulation.at(1500 * MS, Change::AddBalancer);
     simulation.run_for(1500 * MS + 500 * MS);
-    assert_eq!(
-        reset_count(&simulation),
-        flows.len(),
-        "{:?}",
-        simulation.steps
-    );
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_resets(&simulation, flows.len());
 }
 
 /// A host whose server was draining returns and fails again after it has sent heartbeats to control hosts
@@ -457,12 +379,7 @@
     simulation.at(1200 * MS, Change::AddBalancer);
     simulation.run_for(1200 * MS + 500 * MS);
     let expected = if is_fresh { flows.len() } else { 0 };
-    assert_eq!(reset_count(&simulation), expected, "{:?}", simulation.steps);
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_resets(&simulation, expected);
 }
 
 /// Servers outlive their agents, and one host stays down, so that no agent can deny its flows. Callers
@@ -489,11 +406,7 @@
         "{bounced:?}, {searched:?} searches, {flows_there} flows lost"
     );
     assert!(searched >= Some(flows_there * 5), "{searched:?}");
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_no_violations(&simulation);
 }
 
 /// What the other agents lose while one agent holds flows: their caches, their directories, the path to it,
@@ -575,12 +488,7 @@
         simulation.at(80 * MS, Change::StartAgent(other));
     }
     simulation.run_for(Duration::from_secs(5));
-    assert_eq!(reset_count(&simulation), 0, "{:?}", simulation.steps);
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_resets(&simulation, 0);
 }
 
 /// A search reaches every server. If a server resets flows that it does not hold, the reset must not reach
@@ -595,11 +503,7 @@
     restart_all(&mut simulation);
     simulation.run_for(Duration::from_secs(5));
     assert_all_answered(&simulation);
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_no_violations(&simulation);
 }
 
 /// Restarted agents deliver packets in a search to their servers. If such a server then stops, flows that are
@@ -627,11 +531,7 @@
     let answered = simulation.outcomes().get(&Some(Outcome::Answered)).copied();
     let others = 14 - flows_there;
     assert!(answered >= Some(others), "{:?}", simulation.outcomes());
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_no_violations(&simulation);
 }
 
 /// All agents are overloaded and redirect opening packets; no packet may circulate between them.
@@ -651,9 +551,5 @@
         decisions < calls * 3 * 6,
         "{decisions} decisions for {calls} calls: {steps:?}"
     );
-    assert!(
-        simulation.violations.is_empty(),
-        "{:?}",
-        simulation.violations
-    );
+    assert_no_violations(&simulation);
 }
