Replay the load patterns with longer requests too

The replay had one kind of request: 15 ms, two slots, in time within 100 ms. Its patterns now take a workload; the second has requests of 45 ms at 24 servers of three slots, in time within 300 ms, as the shifted work has them. The first gives the figures that it gave before.

--- a/crates/core/examples/placement_replay.rs
+++ b/crates/core/examples/placement_replay.rs
@@ -10,7 +10,7 @@
 #[expect(dead_code, reason = "the tests use more of it")]
 mod world;
 
-use replay::{POLICIES, Score, patterns};
+use replay::{POLICIES, Score, Workload, patterns};
 
 const SEED: u64 = 1;
 
@@ -19,13 +19,15 @@
         "{:<34}   worth in time   late  refused  offers  busiest",
         ""
     );
-    for pattern in patterns(SEED) {
-        println!("{}", pattern.name);
-        for policy in POLICIES {
-            print_row(&format!("{policy:?}"), pattern.against(policy, SEED));
+    for (name, workload) in [("quick", Workload::QUICK), ("long", Workload::LONG)] {
+        for pattern in patterns(SEED, workload) {
+            println!("{name} requests, {}", pattern.name);
+            for policy in POLICIES {
+                print_row(&format!("{policy:?}"), pattern.against(policy, SEED));
+            }
+            print_row("fleet", pattern.against_fleet(SEED));
+            print_row("bound", pattern.bound());
         }
-        print_row("fleet", pattern.against_fleet(SEED));
-        print_row("bound", pattern.bound());
     }
 }
 
--- a/crates/core/src/forwarded/agent.rs
+++ b/crates/core/src/forwarded/agent.rs
@@ -11,8 +11,9 @@
 //! it knows that the server incarnation which held it has ended.
 //!
 //! `agent/openings.rs` decides on opening packets, `agent/server_packets.rs` handles what the server sends, and
-//! `agent/requests.rs` tracks the requests at the server. `agent/location.rs` finds the agent of a packet whose flow is not here; `agent/search.rs` searches for a flow
-//! that no keeper knows. `agent/life.rs` handles starts and ends of the server.
+//! `agent/requests.rs` tracks the requests at the server. `agent/location.rs` finds the agent of a packet whose
+//! flow is not here; `agent/search.rs` searches for a flow that no keeper knows. `agent/life.rs` handles starts
+//! and ends of the server.
 
 use std::collections::{HashMap, VecDeque};
 use std::net::Ipv4Addr;
--- a/crates/core/tests/testsuite/forwarded/load.rs
+++ b/crates/core/tests/testsuite/forwarded/load.rs
@@ -5,7 +5,7 @@
 use insta::assert_snapshot;
 use rstest::rstest;
 
-use super::replay::{POLICIES, patterns};
+use super::replay::{POLICIES, Workload, patterns};
 use super::world::{Change, ORDERS_ADDRESS, Outcome, Simulation};
 
 const MS: Duration = Duration::from_millis(1);
@@ -233,9 +233,10 @@
 fn the_fleet_scores_close_to_the_bound(
     #[case] name: &str,
     #[case] share: f64,
+    #[values(Workload::QUICK, Workload::LONG)] workload: Workload,
     #[values(1, 2, 3)] seed: u64,
 ) {
-    let patterns = patterns(seed);
+    let patterns = patterns(seed, workload);
     let pattern = patterns.iter().find(|p| p.name == name).unwrap();
     let (fleet, bound) = (pattern.against_fleet(seed), pattern.bound());
     assert!(
@@ -245,9 +246,11 @@
 }
 
 /// The fleet's decisions must score at least as high as simpler policies for every pattern.
-#[test]
-fn the_fleet_serves_more_than_simpler_policies() {
-    for pattern in patterns(1) {
+#[rstest]
+#[case::quick(Workload::QUICK)]
+#[case::long(Workload::LONG)]
+fn the_fleet_serves_more_than_simpler_policies(#[case] workload: Workload) {
+    for pattern in patterns(1, workload) {
         let fleet = pattern.against_fleet(1);
         for policy in POLICIES {
             let simpler = pattern.against(policy, 1);
@@ -264,7 +267,7 @@
 /// Outcomes of calls at 1.2 times the capacity.
 #[test]
 fn outcomes_under_sustained_overload() {
-    let patterns = patterns(1);
+    let patterns = patterns(1, Workload::QUICK);
     let pattern = patterns.iter().find(|p| p.name == "1.2 of capacity");
     let s = pattern.unwrap().against_fleet(1);
     let share = |share: f64| format!("{:.1}%", share * 100.0);
--- a/crates/core/tests/testsuite/forwarded/replay.rs
+++ b/crates/core/tests/testsuite/forwarded/replay.rs
@@ -20,19 +20,12 @@
 /// Value of a late response relative to one on time.
 const LATE_VALUE: f64 = 0.3;
 const MS: Duration = Duration::from_millis(1);
-pub const SERVERS: usize = 7;
-const SLOTS: usize = 2;
 const BALANCERS: usize = 4;
 /// Number of requests that a server queues before it bounces opening packets.
 const SERVER_QUEUE: usize = 8;
-/// Number of requests at a server from which an agent redirects, under policies that do.
-const REDIRECT_FROM: usize = SLOTS * 3;
+/// Number of requests per slot of a server from which an agent redirects, under policies that do.
+const REDIRECT_FROM_PER_SLOT: usize = 3;
 const MAX_HOPS: u32 = 3;
-/// Mean service time of a request.
-const MEAN_WORK: Duration = Duration::from_millis(15);
-/// Requests per second that the servers can process.
-pub const CAPACITY: f64 = (SERVERS * SLOTS) as f64 / 0.015;
-pub const TARGET: Duration = Duration::from_millis(100);
 /// Latency from a caller through a balancer and an agent to a server.
 const REQUEST_LATENCY: Duration = Duration::from_micros(3_750);
 /// Latency from a server back to the caller.
@@ -42,6 +35,39 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(25);
 const RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// The servers and the requests of a pattern.
+#[derive(Clone, Copy, Debug)]
+pub struct Workload {
+    pub servers: usize,
+    pub slots: usize,
+    /// Mean service time of a request.
+    pub mean_work: Duration,
+    /// Time within which a response is on time.
+    pub target: Duration,
+}
+
+impl Workload {
+    /// Quick checks at a small service.
+    pub const QUICK: Self = Self {
+        servers: 7,
+        slots: 2,
+        mean_work: Duration::from_millis(15),
+        target: Duration::from_millis(100),
+    };
+    /// Requests that take three times as long, at more and larger servers.
+    pub const LONG: Self = Self {
+        servers: 24,
+        slots: 3,
+        mean_work: Duration::from_millis(45),
+        target: Duration::from_millis(300),
+    };
+
+    /// Requests per second that the servers can process.
+    fn capacity(&self) -> f64 {
+        (self.servers * self.slots) as f64 / self.mean_work.as_secs_f64()
+    }
+}
+
 /// A call: its start, and its service time.
 #[derive(Clone, Copy, Debug)]
 pub struct Call {
@@ -61,6 +87,7 @@
 #[derive(Clone, Debug)]
 pub struct Pattern {
     pub name: &'static str,
+    pub workload: Workload,
     pub calls: Vec<Call>,
     /// Factors by which the service times of servers are longer, each for an interval.
     pub slow: Vec<(Span, u32)>,
@@ -83,26 +110,33 @@
     pub busiest: f64,
 }
 
-fn calls(rng: &mut StdRng, span: Duration, rate: impl Fn(f64) -> f64) -> Vec<Call> {
+/// Draws calls whose `rate` at a time is a share of the capacity.
+fn calls(
+    rng: &mut StdRng,
+    workload: Workload,
+    span: Duration,
+    rate: impl Fn(f64) -> f64,
+) -> Vec<Call> {
     let (mut at, mut calls) = (0.0, Vec::new());
     while at < span.as_secs_f64() {
         let gap: f64 = rng.random_range(1e-9..1.0);
-        at += -gap.ln() / rate(at);
+        at += -gap.ln() / (rate(at) * workload.capacity());
         calls.push(Call {
             at: Duration::from_secs_f64(at),
-            work: Duration::from_secs_f64(rng.random_range(7.5..22.5) / 1000.0),
+            work: workload.mean_work.mul_f64(rng.random_range(0.5..1.5)),
         });
     }
     calls
 }
 
 /// Returns all patterns, drawn from a seed.
-pub fn patterns(seed: u64) -> Vec<Pattern> {
+pub fn patterns(seed: u64, workload: Workload) -> Vec<Pattern> {
     let rng = &mut StdRng::seed_from_u64(seed);
     let secs = Duration::from_secs;
     let mut steady = |name, load: f64| Pattern {
         name,
-        calls: calls(rng, secs(4), |_| load * CAPACITY),
+        workload,
+        calls: calls(rng, workload, secs(4), |_| load),
         slow: Vec::new(),
         drained: Vec::new(),
         retries: 0,
@@ -128,7 +162,9 @@
     };
     let all_cold = Pattern {
         name: "all slow after a start",
-        slow: (0..SERVERS).map(|n| (span(n, 0, 2000), 2)).collect(),
+        slow: (0..workload.servers)
+            .map(|n| (span(n, 0, 2000), 2))
+            .collect(),
         ..steady("", 0.6)
     };
     let storm = Pattern {
@@ -138,26 +174,28 @@
     };
     let wave = Pattern {
         name: "wave from 0.3 to 1.1",
-        calls: calls(rng, secs(6), |at| (0.7 + 0.4 * at.sin()) * CAPACITY),
+        calls: calls(rng, workload, secs(6), |at| 0.7 + 0.4 * at.sin()),
         ..usual.clone()
     };
     let burst = Pattern {
         name: "burst, 1.7 times 0.7 for 3 s",
-        calls: calls(rng, secs(6), |at| {
+        calls: calls(rng, workload, secs(6), |at| {
             let factor = if (1.0..4.0).contains(&at) { 1.7 } else { 1.0 };
-            factor * 0.7 * CAPACITY
+            factor * 0.7
         }),
         ..usual.clone()
     };
-    let mut backlog = calls(rng, secs(6), |at| {
+    let mut backlog = calls(rng, workload, secs(6), |at| {
         let factor = if at < 0.3 { 6.0 } else { 1.0 };
-        factor * 0.5 * CAPACITY
+        factor * 0.5
     });
     backlog.sort_by_key(|call| call.at);
     let power = Pattern {
         name: "backlog after a loss of power",
         calls: backlog,
-        slow: (0..SERVERS).map(|n| (span(n, 0, 2000), 2)).collect(),
+        slow: (0..workload.servers)
+            .map(|n| (span(n, 0, 2000), 2))
+            .collect(),
         retries: 2,
         ..usual.clone()
     };
@@ -199,7 +237,15 @@
 
     /// Replays the pattern against the simulated fleet.
     pub fn against_fleet(&self, seed: u64) -> Score {
-        let mut simulation = Simulation::new(seed, SERVERS, 0, BALANCERS);
+        let Workload {
+            servers,
+            slots,
+            target,
+            ..
+        } = self.workload;
+        let slots = u32::try_from(slots).unwrap();
+        let mut simulation = Simulation::with_slots(seed, servers, 0, BALANCERS, slots);
+        simulation.set_target(target);
         simulation.retries = self.retries;
         for call in &self.calls {
             simulation.call(call.at, ORDERS_ADDRESS, call.work);
@@ -217,7 +263,7 @@
         let all = self.calls.len() as f64;
         let offers: usize = simulation.servers.iter().map(|s| s.openings.len()).sum();
         let answered = simulation.outcomes().get(&Some(Outcome::Answered)).copied();
-        let in_time = simulation.served_within(TARGET);
+        let in_time = simulation.served_within(target);
         let worked: Vec<_> = simulation.servers.iter().map(|s| s.worked).collect();
         let late = answered.unwrap_or(0) as f64 / all - in_time;
         Score {
@@ -325,9 +371,9 @@
             now: Duration::ZERO,
             events: BinaryHeap::new(),
             next: 0,
-            servers: vec![Server::default(); SERVERS],
-            reported: vec![0; SERVERS],
-            sent: vec![vec![0; SERVERS]; BALANCERS],
+            servers: vec![Server::default(); self.workload.servers],
+            reported: vec![0; self.workload.servers],
+            sent: vec![vec![0; self.workload.servers]; BALANCERS],
             answered: vec![None; self.calls.len()],
             offers: 0,
         };
@@ -348,7 +394,11 @@
         let took: Vec<_> = took
             .filter_map(|(at, call)| Some((*at)?.saturating_sub(call.at)))
             .collect();
-        let in_time = took.iter().filter(|took| **took <= TARGET).count() as f64 / all;
+        let in_time = took
+            .iter()
+            .filter(|took| **took <= self.workload.target)
+            .count() as f64
+            / all;
         let late = took.len() as f64 / all - in_time;
         Score {
             in_time,
@@ -404,7 +454,7 @@
                 }
                 Event::Report => {
                     self.reported = self.servers.iter().map(Server::busy).collect();
-                    self.sent = vec![vec![0; SERVERS]; BALANCERS];
+                    self.sent = vec![vec![0; self.servers.len()]; BALANCERS];
                     self.at(at + REPORT_INTERVAL, Event::Report);
                 }
             }
@@ -412,7 +462,7 @@
     }
 
     fn available_servers(&self) -> Vec<usize> {
-        let servers = 0..SERVERS;
+        let servers = 0..self.servers.len();
         let available_servers = servers.filter(|n| !self.pattern.is_closed(*n, self.now));
         available_servers.collect()
     }
@@ -438,14 +488,15 @@
     }
 
     fn opening(&mut self, call: usize, tries: u32, server: usize, hops: u32) {
-        let full = self.servers[server].busy() >= REDIRECT_FROM;
+        let redirect_from = self.pattern.workload.slots * REDIRECT_FROM_PER_SLOT;
+        let full = self.servers[server].busy() >= redirect_from;
         if self.policy.can_redirect() && full && hops < MAX_HOPS {
             let available_servers = self
                 .available_servers()
                 .into_iter()
                 .filter(|n| *n != server);
             let least = available_servers.min_by_key(|n| self.reported[*n]);
-            if let Some(server) = least.filter(|n| self.reported[*n] < REDIRECT_FROM) {
+            if let Some(server) = least.filter(|n| self.reported[*n] < redirect_from) {
                 let hops = hops + 1;
                 let opening = Event::Opening {
                     call,
@@ -477,7 +528,7 @@
 
     fn work(&mut self, server: usize) {
         let factor = self.pattern.factor(server, self.now);
-        while self.servers[server].running < SLOTS
+        while self.servers[server].running < self.pattern.workload.slots
             && let Some(call) = self.servers[server].queue.pop_front()
         {
             self.servers[server].running += 1;
@@ -491,12 +542,18 @@
     /// Replays the pattern against a single queue for all servers. The newest call that can still be on time
     /// is processed next, by the fastest server; calls that cannot be on time are refused.
     pub fn bound(&self) -> Score {
-        let mut free_at = [[Duration::ZERO; SLOTS]; SERVERS];
+        let Workload {
+            servers,
+            slots,
+            mean_work,
+            target,
+        } = self.workload;
+        let mut free_at = vec![vec![Duration::ZERO; slots]; servers];
         let ready = |call: usize| {
             self.calls[call].at + REQUEST_LATENCY + RESPONSE_LATENCY + REQUEST_LATENCY
         };
         let (mut queued, mut answered) = (Vec::new(), vec![None; self.calls.len()]);
-        let (mut next, mut worked, mut offers) = (0, vec![0; SERVERS], 0);
+        let (mut next, mut worked, mut offers) = (0, vec![0; servers], 0);
         loop {
             let begun = next < self.calls.len();
             let slots = free_at.iter().enumerate();
@@ -515,7 +572,7 @@
                 next += 1;
             }
             let can_be_on_time = |call: &usize, factor: u32| {
-                now + MEAN_WORK * factor + RESPONSE_LATENCY <= self.calls[*call].at + TARGET
+                now + mean_work * factor + RESPONSE_LATENCY <= self.calls[*call].at + target
             };
             queued.retain(|call| can_be_on_time(call, 1));
             let available = slots.filter(|(at, n)| *at <= now && !self.is_closed(*n, now));
--- a/crates/core/tests/testsuite/forwarded/world.rs
+++ b/crates/core/tests/testsuite/forwarded/world.rs
@@ -246,6 +246,8 @@
     pub limit: Duration,
     /// Number of times that a refused caller retries.
     pub retries: u32,
+    /// Number of requests that a server processes concurrently.
+    slots: u32,
     /// Agents that control hosts report as having no earlier flows.
     pub agents_without_earlier_flows: BTreeSet<usize>,
 }
@@ -293,9 +295,20 @@
 }
 
 impl Simulation {
-    /// Creates a fleet of `orders` and `sheets` servers in three zones, and of balancers, and runs it for a
-    /// second.
+    /// Creates a fleet of `orders` and `sheets` servers of two slots in three zones, and of balancers, and runs it
+    /// for a second.
     pub fn new(seed: u64, orders: usize, sheets: usize, balancers: usize) -> Self {
+        Self::with_slots(seed, orders, sheets, balancers, 2)
+    }
+
+    /// Creates a fleet like [`Self::new`], with servers of so many slots.
+    pub fn with_slots(
+        seed: u64,
+        orders: usize,
+        sheets: usize,
+        balancers: usize,
+        slots: u32,
+    ) -> Self {
         let start = Instant::now();
         let mut simulation = Self {
             now: start,
@@ -318,6 +331,7 @@
             next_port: 1,
             limit: Duration::from_millis(1500),
             retries: 0,
+            slots,
             agents_without_earlier_flows: BTreeSet::new(),
         };
         for n in 0..orders + sheets {
@@ -878,7 +892,7 @@
                 service: server.service.clone(),
                 address: SocketAddrV4::new(agent_ip(n), 80),
                 zone: server.zone.clone(),
-                slots: 2,
+                slots: self.slots,
                 state: server.state,
                 cold_remaining: server.cold_until.saturating_duration_since(now),
             };
@@ -959,7 +973,7 @@
         if server.running.contains(&flow) || server.queue.contains(&flow) {
             return;
         }
-        if server.running.len() < 2 {
+        if server.running.len() < self.slots as usize {
             self.work(n, flow);
         } else {
             server.queue.push_back(flow);
