Take lists of nodes from control hosts only; name one state alike everywhere

A list from another node was never sent, and would have been learned. `Mesh` and `Agent` both call it `left out` when others do not count an agent among those that must deny a lost flow.

--- a/crates/core/src/forwarded/agent/search.rs
+++ b/crates/core/src/forwarded/agent/search.rs
@@ -137,7 +137,7 @@
             self.server.set_fully_observed();
         }
         let is_left_out = self.is_left_out(now);
-        self.mesh.set_own_server_absent(is_left_out);
+        self.mesh.set_left_out(is_left_out);
         if !self.deferred_searches.is_empty()
             && (self.mesh.is_membership_stable(now) || !self.is_recently_started(now))
         {
--- a/crates/core/src/forwarded/mesh.rs
+++ b/crates/core/src/forwarded/mesh.rs
@@ -85,8 +85,8 @@
     ring: KeeperRing,
     lost_after: Duration,
     ring_version: u64,
-    /// Whether this agent's heartbeats tell that no earlier flow can be open at its own server.
-    is_own_server_absent: bool,
+    /// Whether other agents leave this one out of those that must deny an earlier flow.
+    is_left_out: bool,
     /// When a control host first replied.
     control_answered_at: Option<Instant>,
     /// When an agent last appeared or restarted.
@@ -111,7 +111,7 @@
             ring: KeeperRing::default(),
             lost_after: HEARTBEAT_INTERVAL * (MAX_MISSED_HEARTBEATS + 1),
             ring_version: 0,
-            is_own_server_absent: false,
+            is_left_out: false,
             control_answered_at: None,
             newest_agent_at: None,
         }
--- a/crates/core/src/forwarded/mesh/earlier_flows.rs
+++ b/crates/core/src/forwarded/mesh/earlier_flows.rs
@@ -20,9 +20,10 @@
 /// twice that time.
 const STABLE_WINDOW: Duration = Duration::from_millis(150);
 impl Mesh {
-    /// Notes whether this agent's heartbeats tell that no earlier flow can be open at its own server.
-    pub const fn set_own_server_absent(&mut self, is_absent: bool) {
-        self.is_own_server_absent = is_absent;
+    /// Notes whether other agents leave this one out of those that must deny an earlier flow, because its
+    /// heartbeats tell them that none can be open at its server.
+    pub const fn set_left_out(&mut self, is_left_out: bool) {
+        self.is_left_out = is_left_out;
     }
 
     /// Notes that control hosts reported these agents as having no earlier flows.
@@ -58,7 +59,7 @@
     /// Returns a hash of the agents whose server may hold an earlier flow, which all agents must agree on. This
     /// agent is one of [`Self::deniers`], but is part of the set only if the others count it too.
     pub fn agent_set_hash(&self) -> AgentSetHash {
-        let counted = |ip: &Ipv4Addr| *ip != self.own.ip || !self.is_own_server_absent;
+        let counted = |ip: &Ipv4Addr| *ip != self.own.ip || !self.is_left_out;
         let mut ips: Vec<_> = self.deniers().filter(counted).collect();
         ips.sort_unstable();
         let mut hasher = SipHasher13::new();
--- a/src/forwarded/link.rs
+++ b/src/forwarded/link.rs
@@ -64,12 +64,17 @@
     ) -> FlowUpdates {
         let (role, advertised_index) = (datagram.heartbeat.role, datagram.heartbeat.index);
         let change = mesh.on_heartbeat(now, from, datagram.heartbeat);
-        self.datagrams
-            .learn_listed_nodes(now, mesh, from, datagram.node_list_hash, datagram.nodes);
-        mesh.mark_without_earlier_flows(datagram.agents_without_earlier_flows);
         self.journal
             .write_node_change(NodeAddress { ip: from, role }, change);
         if role == NodeRole::Control {
+            self.datagrams.learn_listed_nodes(
+                now,
+                mesh,
+                from,
+                datagram.node_list_hash,
+                datagram.nodes,
+            );
+            mesh.mark_without_earlier_flows(datagram.agents_without_earlier_flows);
             self.fetcher
                 .on_advertised_index(from, advertised_index, own_index);
         }
