--- a/crates/core/tests/testsuite/forwarded/faults.rs
+++ b/crates/core/tests/testsuite/forwarded/faults.rs
@@ -166,6 +166,12 @@
     resets.unwrap_or(0)
 }
 
+/// Number of the flows that are open at `server`.
+fn flows_at(simulation: &Simulation, flows: &[FlowKey], server: usize) -> usize {
+    let holders = flows.iter().map(|f| simulation.holder(*f));
+    holders.filter(|holder| *holder == Some(server)).count()
+}
+
 /// Checks how many callers were told that their flow has ended.
 fn assert_resets(simulation: &Simulation, expected: usize) {
     assert_eq!(reset_count(simulation), expected, "{:?}", simulation.steps);
@@ -187,20 +193,12 @@
     let mut simulation = Simulation::new(seed, 7, 3, 2);
     let flows = open_calls(&mut simulation, 14);
     let lost = simulation.holder(flows[0]).unwrap();
-    let flows_there = flows
-        .iter()
-        .filter(|f| simulation.holder(**f) == Some(lost));
-    let flows_there = flows_there.count();
+    let flows_there = flows_at(&simulation, &flows, lost);
     simulation.at(Duration::ZERO, Change::LosePower(lost));
     simulation.at(300 * MS, Change::RegainPower(lost));
     // Agents send heartbeats every 250 ms, in ticks of 20 ms, and callers retransmit after 200 ms.
     simulation.run_for(300 * MS + 270 * MS + 200 * MS + 20 * MS);
-    assert_eq!(
-        reset_count(&simulation),
-        flows_there,
-        "{:?}",
-        simulation.steps
-    );
+    assert_resets(&simulation, flows_there);
     simulation.run_for(Duration::from_secs(4));
     assert_eq!(simulation.outcomes().get(&Some(Outcome::GaveUp)), None);
     assert_no_violations(&simulation);
@@ -227,10 +225,7 @@
     simulation.run_for(Duration::from_secs(1));
     let flows = open_calls(&mut simulation, 200);
     let lost = simulation.holder(flows[0]).unwrap();
-    let flows_there = flows
-        .iter()
-        .filter(|f| simulation.holder(**f) == Some(lost));
-    let flows_there = flows_there.count();
+    let flows_there = flows_at(&simulation, &flows, lost);
     simulation.at(Duration::ZERO, Change::LosePower(lost));
     simulation.at(300 * MS, Change::RegainPower(lost));
     simulation.run_for(Duration::from_millis(1500));
--- a/crates/core/tests/testsuite/forwarded/waiting.rs
+++ b/crates/core/tests/testsuite/forwarded/waiting.rs
@@ -32,6 +32,15 @@
     }
 }
 
+/// Removes all packets in the order of the queue and returns their ports.
+fn remove_all(queue: &mut AdmissionQueue, now: Instant) -> Vec<u16> {
+    let remove = || {
+        let next = queue.next(now, WORK)?;
+        Some(queue.remove(next.flow)?.header.source.port())
+    };
+    std::iter::from_fn(remove).collect()
+}
+
 /// Adds one packet for each entry of age in ms and policy, and returns the order in which they leave the
 /// queue.
 fn removal_order(entries: &[(u32, RequestPolicy)]) -> Vec<u16> {
@@ -41,16 +50,7 @@
         queue.push(start + *at * MS, &opening(n), b"", *policy);
     }
     let now = start + 200 * MS;
-    let remove = || {
-        Some(
-            queue
-                .remove(queue.next(now, WORK)?.flow)?
-                .header
-                .source
-                .port(),
-        )
-    };
-    std::iter::from_fn(remove).collect()
+    remove_all(&mut queue, now)
 }
 
 #[rstest]
@@ -84,17 +84,7 @@
         queue.push(now, &copy(n, copy_number), b"", TERMS);
     }
     let now = start + 10 * MS;
-    let remove = || {
-        Some(
-            queue
-                .remove(queue.next(now, WORK)?.flow)?
-                .header
-                .source
-                .port(),
-        )
-    };
-    let left: Vec<_> = std::iter::from_fn(remove).collect();
-    assert_eq!(left, [5, 1, 4, 2, 3]);
+    assert_eq!(remove_all(&mut queue, now), [5, 1, 4, 2, 3]);
 }
 
 /// A caller gives up opening a flow 1.4 s after its first packet, also if only its last copy arrived.
