Keep the lists of nodes in the mesh

The socket's type held them and changed the mesh by a method of six arguments. The mesh has what a node knows of others, and is at hand where a heartbeat names the list that is held. No behaviour changes.

--- a/crates/core/src/forwarded/mesh.rs
+++ b/crates/core/src/forwarded/mesh.rs
@@ -15,6 +15,7 @@
 use super::confirmation::Confirmation;
 use super::keepers::KeeperRing;
 use super::node::{NodeAddress, NodeRole};
+use super::node_list::{NodeListHash, ReceivedNodeLists};
 use super::report::{BootId, Heartbeat, ReceivedReport, ServerPresence, ServerReport};
 use super::service_map::ServiceLabel;
 use crate::ids::LogIndex;
@@ -82,6 +83,7 @@
 pub struct Mesh {
     own: NodeAddress,
     nodes: BTreeMap<Ipv4Addr, PeerState>,
+    node_lists: ReceivedNodeLists,
     ring: KeeperRing,
     lost_after: Duration,
     ring_version: u64,
@@ -108,6 +110,7 @@
         Self {
             own,
             nodes: BTreeMap::new(),
+            node_lists: ReceivedNodeLists::default(),
             ring: KeeperRing::default(),
             lost_after: HEARTBEAT_INTERVAL * (MAX_MISSED_HEARTBEATS + 1),
             ring_version: 0,
@@ -159,6 +162,29 @@
         }
     }
 
+    /// Adds the nodes that the control host at `control` knows, whether its answer carries them or refers to a list
+    /// that it sent before. A control host of an earlier version has no `hash` and always sends the list.
+    pub fn learn_from_control(
+        &mut self,
+        now: Instant,
+        control: Ipv4Addr,
+        hash: Option<NodeListHash>,
+        nodes: Vec<NodeAddress>,
+    ) {
+        let Some(hash) = hash else {
+            self.learn_all(now, nodes);
+            return;
+        };
+        let mut lists = std::mem::take(&mut self.node_lists);
+        self.learn_all(now, lists.on_answer(control, hash, nodes).iter().copied());
+        self.node_lists = lists;
+    }
+
+    /// Returns which list of the control host at `control` this node holds.
+    pub fn held_node_list(&self, control: Ipv4Addr) -> Option<NodeListHash> {
+        self.node_lists.held_from(control)
+    }
+
     /// Applies a heartbeat of the node at `from`.
     pub fn on_heartbeat(
         &mut self,
--- a/src/forwarded/datagrams.rs
+++ b/src/forwarded/datagrams.rs
@@ -6,7 +6,6 @@
 use dogwoodrill_core::forwarded::keepers::FlowLocation;
 use dogwoodrill_core::forwarded::mesh::Mesh;
 use dogwoodrill_core::forwarded::node::{NodeAddress, NodeSettings};
-use dogwoodrill_core::forwarded::node_list::{NodeListHash, ReceivedNodeLists};
 use dogwoodrill_core::forwarded::report::{BootId, Heartbeat, ServerPresence, ServerReport};
 use dogwoodrill_core::ids::LogIndex;
 use dogwoodrill_wire::convert::ConvertError;
@@ -29,7 +28,6 @@
     boot: BootId,
     own: NodeAddress,
     server_presence: ServerPresence,
-    node_lists: ReceivedNodeLists,
 }
 
 /// Why a datagram was ignored.
@@ -66,7 +64,6 @@
                 role: settings.role.role(),
             },
             server_presence: ServerPresence::default(),
-            node_lists: ReceivedNodeLists::default(),
         })
     }
 
@@ -144,32 +141,13 @@
             let last_seen_age = mesh.last_seen_age(now, node.ip);
             let heartbeat = self.build_heartbeat(last_seen_age, index, report.cloned());
             let datagram = Datagram {
-                node_list_hash: self.node_lists.held_from(node.ip),
+                node_list_hash: mesh.held_node_list(node.ip),
                 ..Datagram::from(heartbeat)
             };
             self.send(node.ip, &datagram);
         }
     }
 
-    /// Adds the nodes that a control host knows to the node's view, whether its answer carries them or refers to
-    /// an earlier one.
-    pub fn learn_listed_nodes(
-        &mut self,
-        now: Instant,
-        mesh: &mut Mesh,
-        control: Ipv4Addr,
-        hash: Option<NodeListHash>,
-        nodes: Vec<NodeAddress>,
-    ) {
-        // A control host of an earlier version identifies no list and always sends it.
-        let Some(hash) = hash else {
-            mesh.learn_all(now, nodes);
-            return;
-        };
-        let nodes = self.node_lists.on_answer(control, hash, nodes);
-        mesh.learn_all(now, nodes.iter().copied());
-    }
-
     /// Queues the locations of flows that are at this node, in as many datagrams as they need.
     pub fn send_flow_locations(
         &mut self,
--- a/src/forwarded/link.rs
+++ b/src/forwarded/link.rs
@@ -67,13 +67,7 @@
         self.journal
             .write_node_change(NodeAddress { ip: from, role }, change);
         if role == NodeRole::Control {
-            self.datagrams.learn_listed_nodes(
-                now,
-                mesh,
-                from,
-                datagram.node_list_hash,
-                datagram.nodes,
-            );
+            mesh.learn_from_control(now, from, datagram.node_list_hash, datagram.nodes);
             mesh.mark_without_earlier_flows(datagram.agents_without_earlier_flows);
             self.fetcher
                 .on_advertised_index(from, advertised_index, own_index);
