--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -69,7 +69,7 @@
 
 impl Drop for Site {
     fn drop(&mut self) {
-        if std::env::var("KEEP").is_err() {
+        if std::env::var("REVIEW_KEEP").is_err() {
             drop(fs::remove_dir_all(&self.folder));
         }
     }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -12,7 +12,9 @@
 mod town;
 
 mod idle_flow;
+mod late_report;
 mod replaced_while_frozen;
+mod slow_successor;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -29,6 +31,8 @@
     let outcome = match case.as_str() {
         "replaced-while-frozen" => replaced_while_frozen::run(&record, has_trouble),
         "idle-flow" => idle_flow::run(&record, has_trouble),
+        "slow-successor" => slow_successor::run(&record, has_trouble),
+        "late-report" => late_report::run(&record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     };
     exit(match outcome {
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, UdpSocket};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -35,7 +35,10 @@
 
 /// A running server. Dropping it crashes it.
 pub struct Server {
-    pub id: String,
+    /// Start of this boot, in Unix milliseconds.
+    pub born: u64,
+    /// Status reports that were sent so far.
+    reports_sent: Arc<AtomicU64>,
     stop: Arc<AtomicBool>,
     threads: Vec<thread::JoinHandle<()>>,
 }
@@ -56,19 +59,25 @@
             let stop = Arc::clone(&stop);
             thread::spawn(move || serve_health(&listener, &stop))
         };
+        let born = unix_ms();
+        let reports_sent = Arc::new(AtomicU64::new(0));
         let reports = {
-            let (stop, record) = (Arc::clone(&stop), record.clone());
+            let (stop, record, sent) = (Arc::clone(&stop), record.clone(), Arc::clone(&reports_sent));
             let (to, id) = (SocketAddr::from((at.ip, at.control)), id.to_owned());
-            let born = unix_ms();
             let bodies: Vec<_> = (1..400).map(|n| report(at.ip, at.app, service, n, born)).collect();
-            thread::spawn(move || report_status(to, &id, &bodies, &stop, &record))
+            thread::spawn(move || report_status(to, &id, &bodies, &sent, &stop, &record))
         };
         let flows = {
             let (stop, record, id) = (Arc::clone(&stop), record.clone(), id.to_owned());
             let outbound = SocketAddrV4::new(at.ip, at.outbound);
             thread::spawn(move || Flows { id, socket, outbound, flows: HashMap::new(), due: Vec::new(), record }.serve(&stop))
         };
-        Ok(Self { id: id.to_owned(), stop, threads: vec![health, reports, flows] })
+        Ok(Self { born, reports_sent, stop, threads: vec![health, reports, flows] })
+    }
+
+    /// Number of the next status report.
+    pub fn next_sequence(&self) -> u64 {
+        self.reports_sent.load(Ordering::Relaxed) + 1
     }
 }
 
@@ -88,10 +97,11 @@
     )
 }
 
-fn report_status(to: SocketAddr, id: &str, bodies: &[String], stop: &AtomicBool, record: &Record) {
+fn report_status(to: SocketAddr, id: &str, bodies: &[String], sent: &AtomicU64, stop: &AtomicBool, record: &Record) {
     let mut last = None;
     for body in bodies {
         let next_at = Instant::now() + HEARTBEAT;
+        sent.fetch_add(1, Ordering::Relaxed);
         let status = call(to, "PUT", &format!("/instances/{id}"), body).map(|r| r.status);
         if last != Some(status) {
             record.line(&format!("server {id}: status report {body}: {status:?}"));
