--- a/review/standin/idle_flow.rs
+++ b/review/standin/idle_flow.rs
@@ -22,13 +22,22 @@
         town.put_config(7, SERVICE, NEW_IDLE_TIMEOUT_MS)?;
     }
     sleep(CONFIG_APPLY);
-    let idle_timeout = Duration::from_millis(if has_trouble { NEW_IDLE_TIMEOUT_MS } else { OLD_IDLE_TIMEOUT_MS });
+    let idle_timeout = Duration::from_millis(if has_trouble {
+        NEW_IDLE_TIMEOUT_MS
+    } else {
+        OLD_IDLE_TIMEOUT_MS
+    });
     let client = Client::new(town.site.ip(60), town.balancer(0), record)?;
     let route: SocketAddrV4 = town.route();
     let mut flows = Vec::new();
     for n in 0..FLOWS {
-        let mut flow = client.open(40_000 + n, route).ok_or("a flow does not open")?;
-        if !matches!(client.request(&mut flow, &format!("first-{n}"), LIMIT), End::Answered(_)) {
+        let mut flow = client
+            .open(40_000 + n, route)
+            .ok_or("a flow does not open")?;
+        if !matches!(
+            client.request(&mut flow, &format!("first-{n}"), LIMIT),
+            End::Answered(_)
+        ) {
             return Err("a first request is not answered".to_owned());
         }
         flows.push((flow, Instant::now()));
--- a/review/standin/late_report.rs
+++ b/review/standin/late_report.rs
@@ -30,9 +30,17 @@
     sleep(Duration::from_secs(2));
     // The last report of the first boot is held up on its way; the boot crashes right after it.
     let first = town.servers.remove(0);
-    let late = report(town.site.ip(FIRST_AGENT), town.app, SERVICE, first.next_sequence(), first.born);
+    let late = report(
+        town.site.ip(FIRST_AGENT),
+        town.app,
+        SERVICE,
+        first.next_sequence(),
+        first.born,
+    );
     let sent_at = Instant::now();
-    record.line(&format!("server i-0 sends a status report, which is held up: {late}"));
+    record.line(&format!(
+        "server i-0 sends a status report, which is held up: {late}"
+    ));
     drop(first);
     record.line("server i-0 has crashed");
     sleep(NEXT_BOOT_AFTER);
@@ -43,7 +51,9 @@
     let client = Client::new(town.site.ip(60), town.balancer(0), record)?;
     let mut flows = Vec::new();
     for n in 0..FLOWS {
-        let mut flow = client.open(40_000 + n, town.route()).ok_or("a flow does not open")?;
+        let mut flow = client
+            .open(40_000 + n, town.route())
+            .ok_or("a flow does not open")?;
         let End::Answered(answer) = client.request(&mut flow, &format!("first-{n}"), LIMIT) else {
             return Err("a first request is not answered".to_owned());
         };
@@ -69,7 +79,9 @@
             sleep(Duration::from_millis(2));
         };
         let delay = sent_at.elapsed().as_millis();
-        record.line(&format!("the status report of i-0 arrives after {delay} ms: {late}: {status:?}"));
+        record.line(&format!(
+            "the status report of i-0 arrives after {delay} ms: {late}: {status:?}"
+        ));
     }
     sleep(STABLE);
 
@@ -87,6 +99,8 @@
             ));
         }
     }
-    record.line(&format!("{broken} of {FLOWS} flows were reset, {at_next} were open at i-0-next"));
+    record.line(&format!(
+        "{broken} of {FLOWS} flows were reset, {at_next} were open at i-0-next"
+    ));
     Ok(broken == 0)
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -27,7 +27,10 @@
     };
     let record = record::Record::create(&PathBuf::from(folder).join("record.txt"));
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    record.line(&format!("case {case}, disruption {}", if has_trouble { "on" } else { "off" }));
+    record.line(&format!(
+        "case {case}, disruption {}",
+        if has_trouble { "on" } else { "off" }
+    ));
     let outcome = match case.as_str() {
         "replaced-while-frozen" => replaced_while_frozen::run(&record, has_trouble),
         "idle-flow" => idle_flow::run(&record, has_trouble),
--- a/review/standin/operator.rs
+++ b/review/standin/operator.rs
@@ -38,9 +38,14 @@
     let status = head.split(' ').nth(1)?.parse().ok()?;
     let location = head.lines().find_map(|line| {
         let (name, value) = line.split_once(':')?;
-        name.eq_ignore_ascii_case("location").then(|| value.trim().to_owned())
+        name.eq_ignore_ascii_case("location")
+            .then(|| value.trim().to_owned())
     });
-    Some(Response { status, body: body.to_owned(), location })
+    Some(Response {
+        status,
+        body: body.to_owned(),
+        location,
+    })
 }
 
 pub struct Operator<'a> {
@@ -52,15 +57,33 @@
 
 impl Operator<'_> {
     /// Makes a call and follows up to two redirections. Returns the machine that gave the last response.
-    fn follow(&self, first: Ipv4Addr, method: &str, path: &str, body: &str) -> Option<(Ipv4Addr, Response)> {
+    fn follow(
+        &self,
+        first: Ipv4Addr,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<(Ipv4Addr, Response)> {
         let mut to = SocketAddr::from((first, self.site.control));
         for _ in 0..=MAX_REDIRECTS {
             let response = call(to, method, path, body);
-            let told = response.as_ref().map_or_else(|| "no response".to_owned(), |r| format!("{} {}", r.status, brief(&r.body)));
-            self.record.line(&format!("operator: {method} {path} {} to {to}: {told}", brief(body)));
+            let told = response.as_ref().map_or_else(
+                || "no response".to_owned(),
+                |r| format!("{} {}", r.status, brief(&r.body)),
+            );
+            self.record.line(&format!(
+                "operator: {method} {path} {} to {to}: {told}",
+                brief(body)
+            ));
             let response = response?;
-            let std::net::IpAddr::V4(ip) = to.ip() else { return None };
-            match response.location.as_deref().filter(|_| response.status == 307) {
+            let std::net::IpAddr::V4(ip) = to.ip() else {
+                return None;
+            };
+            match response
+                .location
+                .as_deref()
+                .filter(|_| response.status == 307)
+            {
                 Some(location) => {
                     let authority = location.strip_prefix("http://")?.split('/').next()?;
                     to = authority.parse().ok()?;
@@ -72,7 +95,13 @@
     }
 
     /// Repeats a call at one machine after the other until one responds with 200, for `longest` at most.
-    pub fn until_ok(&self, longest: Duration, method: &str, path: &str, body: &str) -> Option<(Ipv4Addr, Response)> {
+    pub fn until_ok(
+        &self,
+        longest: Duration,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<(Ipv4Addr, Response)> {
         let until = Instant::now() + longest;
         while Instant::now() < until {
             for machine in &self.machines {
@@ -91,7 +120,11 @@
 
 fn brief(text: &str) -> String {
     let text = text.replace('\n', " ");
-    if text.len() > 60 { format!("{}...", &text[..60]) } else { text }
+    if text.len() > 60 {
+        format!("{}...", &text[..60])
+    } else {
+        text
+    }
 }
 
 /// A configuration with one route to `service`.
--- a/review/standin/packet.rs
+++ b/review/standin/packet.rs
@@ -44,7 +44,9 @@
             return None;
         }
         let u16_at = |at: usize| u16::from_be_bytes([bytes[at], bytes[at + 1]]);
-        let u32_at = |at: usize| u32::from_be_bytes([bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]]);
+        let u32_at = |at: usize| {
+            u32::from_be_bytes([bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]])
+        };
         if usize::from(u16_at(28)) != bytes.len() - HEAD {
             return None;
         }
@@ -64,7 +66,8 @@
     }
 
     pub fn end(&self) -> u32 {
-        self.seq.wrapping_add(u32::try_from(self.data.len()).unwrap())
+        self.seq
+            .wrapping_add(u32::try_from(self.data.len()).unwrap())
     }
 }
 
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -16,7 +16,10 @@
 impl Record {
     pub fn create(path: &Path) -> Self {
         let file = File::create(path).expect("the record can be written");
-        Self { began_at: Instant::now(), file: Arc::new(Mutex::new(file)) }
+        Self {
+            began_at: Instant::now(),
+            file: Arc::new(Mutex::new(file)),
+        }
     }
 
     pub fn line(&self, text: &str) {
--- a/review/standin/replaced_while_frozen.rs
+++ b/review/standin/replaced_while_frozen.rs
@@ -24,13 +24,26 @@
     let site = Site::new()?;
     let route = SocketAddrV4::new(site.ip(200), 443);
     let founders = [1, 2, 3];
-    let start = |host, bootstrap| Machine::start(&site, record, host, Role::Control { bootstrap }, &founders);
+    let start = |host, bootstrap| {
+        Machine::start(&site, record, host, Role::Control { bootstrap }, &founders)
+    };
     let mut a = start(1, true)?;
     let mut b = start(2, true)?;
     let mut c = start(3, true)?;
-    let mut operator = Operator { site: &site, record, machines: vec![a.ip, b.ip, c.ip] };
+    let mut operator = Operator {
+        site: &site,
+        record,
+        machines: vec![a.ip, b.ip, c.ip],
+    };
     let longest = Duration::from_secs(8);
-    operator.until_ok(longest, "PUT", "/config", &config(1, route, SERVICE, 15_000)).ok_or("version 1 is not acknowledged")?;
+    operator
+        .until_ok(
+            longest,
+            "PUT",
+            "/config",
+            &config(1, route, SERVICE, 15_000),
+        )
+        .ok_or("version 1 is not acknowledged")?;
     sleep(CATCH_UP);
 
     record.line("planned replacement of core-2 by core-4: the new machine starts first");
@@ -51,11 +64,22 @@
     sleep(CATCH_UP + CATCH_UP);
 
     let (by, _) = operator
-        .until_ok(longest, "PUT", "/config", &config(5, route, SERVICE, 15_000))
+        .until_ok(
+            longest,
+            "PUT",
+            "/config",
+            &config(5, route, SERVICE, 15_000),
+        )
         .ok_or("version 5 is not acknowledged before the final fault")?;
-    record.line(&format!("version 5 is acknowledged by {by}; one machine loses its disk (1 is tolerated)"));
+    record.line(&format!(
+        "version 5 is acknowledged by {by}; one machine loses its disk (1 is tolerated)"
+    ));
     let lost = [&mut a, &mut c, &mut d].into_iter().find(|m| m.ip == by);
-    lose_disk(&site, lost.ok_or("a machine that is gone answered")?, &founders)?;
+    lose_disk(
+        &site,
+        lost.ok_or("a machine that is gone answered")?,
+        &founders,
+    )?;
     read_back(record, &operator, route)
 }
 
@@ -68,15 +92,25 @@
 }
 
 /// Reads the configuration back after the recovery time.
-fn read_back(record: &Record, operator: &Operator<'_>, route: SocketAddrV4) -> Result<bool, String> {
+fn read_back(
+    record: &Record,
+    operator: &Operator<'_>,
+    route: SocketAddrV4,
+) -> Result<bool, String> {
     sleep(RECOVERY);
     record.line("the operator reads the configuration back");
     let read = operator.until_ok(READ_BACK, "GET", "/config", "");
     let Some((_, response)) = read else {
-        record.line(&format!("no configuration was returned for {} s", READ_BACK.as_secs()));
+        record.line(&format!(
+            "no configuration was returned for {} s",
+            READ_BACK.as_secs()
+        ));
         return Ok(false);
     };
     let is_newest = response.body == config(5, route, SERVICE, 15_000);
-    record.line(&format!("the configuration that was returned is {}the acknowledged one", if is_newest { "" } else { "not " }));
+    record.line(&format!(
+        "the configuration that was returned is {}the acknowledged one",
+        if is_newest { "" } else { "not " }
+    ));
     Ok(is_newest)
 }
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, UdpSocket};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -44,17 +44,33 @@
 }
 
 pub fn unix_ms() -> u64 {
-    u64::try_from(SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()).unwrap()
+    u64::try_from(
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .as_millis(),
+    )
+    .unwrap()
 }
 
 impl Server {
-    pub fn start(at: ServerAddress, id: &str, service: &str, record: &Record) -> Result<Self, String> {
+    pub fn start(
+        at: ServerAddress,
+        id: &str,
+        service: &str,
+        record: &Record,
+    ) -> Result<Self, String> {
         let socket = UdpSocket::bind((at.ip, at.app)).map_err(|e| e.to_string())?;
-        socket.set_read_timeout(Some(POLL)).map_err(|e| e.to_string())?;
+        socket
+            .set_read_timeout(Some(POLL))
+            .map_err(|e| e.to_string())?;
         let listener = TcpListener::bind((at.ip, at.app)).map_err(|e| e.to_string())?;
         listener.set_nonblocking(true).map_err(|e| e.to_string())?;
         let stop = Arc::new(AtomicBool::new(false));
-        record.line(&format!("server {id} ({service}) starts at {}:{}", at.ip, at.app));
+        record.line(&format!(
+            "server {id} ({service}) starts at {}:{}",
+            at.ip, at.app
+        ));
         let health = {
             let stop = Arc::clone(&stop);
             thread::spawn(move || serve_health(&listener, &stop))
@@ -62,17 +78,35 @@
         let born = unix_ms();
         let reports_sent = Arc::new(AtomicU64::new(0));
         let reports = {
-            let (stop, record, sent) = (Arc::clone(&stop), record.clone(), Arc::clone(&reports_sent));
+            let (stop, record, sent) =
+                (Arc::clone(&stop), record.clone(), Arc::clone(&reports_sent));
             let (to, id) = (SocketAddr::from((at.ip, at.control)), id.to_owned());
-            let bodies: Vec<_> = (1..400).map(|n| report(at.ip, at.app, service, n, born)).collect();
+            let bodies: Vec<_> = (1..400)
+                .map(|n| report(at.ip, at.app, service, n, born))
+                .collect();
             thread::spawn(move || report_status(to, &id, &bodies, &sent, &stop, &record))
         };
         let flows = {
             let (stop, record, id) = (Arc::clone(&stop), record.clone(), id.to_owned());
             let outbound = SocketAddrV4::new(at.ip, at.outbound);
-            thread::spawn(move || Flows { id, socket, outbound, flows: HashMap::new(), due: Vec::new(), record }.serve(&stop))
+            thread::spawn(move || {
+                Flows {
+                    id,
+                    socket,
+                    outbound,
+                    flows: HashMap::new(),
+                    due: Vec::new(),
+                    record,
+                }
+                .serve(&stop)
+            })
         };
-        Ok(Self { born, reports_sent, stop, threads: vec![health, reports, flows] })
+        Ok(Self {
+            born,
+            reports_sent,
+            stop,
+            threads: vec![health, reports, flows],
+        })
     }
 
     /// Number of the next status report.
@@ -97,7 +131,14 @@
     )
 }
 
-fn report_status(to: SocketAddr, id: &str, bodies: &[String], sent: &AtomicU64, stop: &AtomicBool, record: &Record) {
+fn report_status(
+    to: SocketAddr,
+    id: &str,
+    bodies: &[String],
+    sent: &AtomicU64,
+    stop: &AtomicBool,
+    record: &Record,
+) {
     let mut last = None;
     for body in bodies {
         let next_at = Instant::now() + HEARTBEAT;
@@ -127,7 +168,9 @@
             drop(stream.set_read_timeout(Some(Duration::from_secs(1))));
             let mut buf = [0; 1024];
             if stream.read(&mut buf).is_ok_and(|n| n > 0) {
-                drop(stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"));
+                drop(stream.write_all(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+                ));
             }
         });
     }
@@ -163,26 +206,52 @@
 
     fn reply(&self, key: Key, flags: u8, seq: u32, ack: u32, data: &[u8]) -> Vec<u8> {
         let (client, route) = key;
-        Packet { source: route, target: client, flags, seq, ack, data: data.to_vec() }.encode()
+        Packet {
+            source: route,
+            target: client,
+            flags,
+            seq,
+            ack,
+            data: data.to_vec(),
+        }
+        .encode()
     }
 
     fn on_packet(&mut self, bytes: &[u8]) {
         let Some((packet, true)) = Packet::decode(bytes) else {
-            self.record.line(&format!("server {}: UNASKED a packet that its sender did not write so", self.id));
+            self.record.line(&format!(
+                "server {}: UNASKED a packet that its sender did not write so",
+                self.id
+            ));
             return;
         };
         let key = (packet.source, packet.target);
         if packet.has(SYN) {
             let next = packet.seq.wrapping_add(1);
             let seq = seed(&self.id, key);
-            let flow = self.flows.entry(key).or_insert(Flow { seq, next, is_open: false, sent: 0, response: None });
+            let flow = self.flows.entry(key).or_insert(Flow {
+                seq,
+                next,
+                is_open: false,
+                sent: 0,
+                response: None,
+            });
             let (seq, next) = (flow.seq, flow.next);
-            self.record.line(&format!("server {}: opening packet from {}", self.id, key.0));
+            self.record.line(&format!(
+                "server {}: opening packet from {}",
+                self.id, key.0
+            ));
             return self.send(&self.reply(key, SYN | ACK, seq, next, &[]));
         }
-        let held = self.flows.get_mut(&key).filter(|f| packet.ack.wrapping_sub(f.seq) <= ACK_WINDOW);
+        let held = self
+            .flows
+            .get_mut(&key)
+            .filter(|f| packet.ack.wrapping_sub(f.seq) <= ACK_WINDOW);
         let Some(flow) = held else {
-            self.record.line(&format!("server {}: hands back a packet of {}, which it does not hold", self.id, key.0));
+            self.record.line(&format!(
+                "server {}: hands back a packet of {}, which it does not hold",
+                self.id, key.0
+            ));
             let mut bounced = bytes.to_vec();
             bounced[30] |= BOUNCED;
             bounced[31..36].fill(0);
@@ -190,12 +259,14 @@
         };
         if !flow.is_open {
             flow.is_open = true;
-            self.record.line(&format!("server {}: flow of {} is open", self.id, key.0));
+            self.record
+                .line(&format!("server {}: flow of {} is open", self.id, key.0));
         }
         if packet.has(FIN) || packet.has(RST) {
             let (seq, next) = (packet.ack, packet.end().wrapping_add(1));
             self.flows.remove(&key);
-            self.record.line(&format!("server {}: flow of {} ends", self.id, key.0));
+            self.record
+                .line(&format!("server {}: flow of {} ends", self.id, key.0));
             return self.send(&self.reply(key, FIN | ACK, seq, next, &[]));
         }
         if packet.data.is_empty() {
@@ -205,7 +276,8 @@
             flow.next = packet.end();
             flow.response = None;
             let request = String::from_utf8_lossy(&packet.data).into_owned();
-            self.record.line(&format!("server {}: runs {request} of {}", self.id, key.0));
+            self.record
+                .line(&format!("server {}: runs {request} of {}", self.id, key.0));
             self.due.push((Instant::now() + WORK, key, request));
         } else if let Some(response) = flow.response.clone() {
             self.send(&response);
@@ -218,7 +290,9 @@
         self.due = later;
         let ready: Vec<(Instant, Key, String)> = ready;
         for (_, key, request) in ready {
-            let Some(flow) = self.flows.get(&key) else { continue };
+            let Some(flow) = self.flows.get(&key) else {
+                continue;
+            };
             let sent = flow.seq.wrapping_add(1).wrapping_add(flow.sent);
             let data = format!("200 {request} by {}", self.id);
             let bytes = self.reply(key, ACK, sent, flow.next, data.as_bytes());
--- a/review/standin/town.rs
+++ b/review/standin/town.rs
@@ -29,13 +29,32 @@
     /// Starts everything, puts version 1 in force and waits until both balancers are ready and the servers have reported.
     pub fn start(record: &Record, servers: u8, idle_timeout_ms: u64) -> Result<Self, String> {
         let site = Site::new()?;
-        let app = site.inner + 20;
+        let app = site.outbound + 1;
         let start = |host, role| Machine::start(&site, record, host, role, &CONTROLS);
-        let controls = CONTROLS.iter().map(|h| start(*h, Role::Control { bootstrap: true })).collect::<Result<Vec<_>, _>>()?;
-        let balancers = BALANCERS.iter().map(|h| start(*h, Role::Balancer)).collect::<Result<Vec<_>, _>>()?;
-        let role = || Role::Agent { service: SERVICE.to_owned(), app_port: app };
-        let agents = (0..servers).map(|n| start(FIRST_AGENT + n, role())).collect::<Result<Vec<_>, _>>()?;
-        let mut town = Self { servers: Vec::new(), agents, balancers, controls, app, record: record.clone(), site };
+        let controls = CONTROLS
+            .iter()
+            .map(|h| start(*h, Role::Control { bootstrap: true }))
+            .collect::<Result<Vec<_>, _>>()?;
+        let balancers = BALANCERS
+            .iter()
+            .map(|h| start(*h, Role::Balancer))
+            .collect::<Result<Vec<_>, _>>()?;
+        let role = || Role::Agent {
+            service: SERVICE.to_owned(),
+            app_port: app,
+        };
+        let agents = (0..servers)
+            .map(|n| start(FIRST_AGENT + n, role()))
+            .collect::<Result<Vec<_>, _>>()?;
+        let mut town = Self {
+            servers: Vec::new(),
+            agents,
+            balancers,
+            controls,
+            app,
+            record: record.clone(),
+            site,
+        };
         sleep(Duration::from_millis(500));
         for n in 0..servers {
             town.servers.push(town.start_server(n, &format!("i-{n}"))?);
@@ -53,7 +72,12 @@
     }
 
     pub fn server_address(&self, n: u8) -> ServerAddress {
-        ServerAddress { ip: self.site.ip(FIRST_AGENT + n), app: self.app, outbound: self.site.outbound, control: self.site.control }
+        ServerAddress {
+            ip: self.site.ip(FIRST_AGENT + n),
+            app: self.app,
+            outbound: self.site.outbound,
+            control: self.site.control,
+        }
     }
 
     pub fn start_server(&self, n: u8, id: &str) -> Result<Server, String> {
@@ -67,13 +91,24 @@
 
     pub fn operator(&self) -> Operator<'_> {
         let machines = self.controls.iter().map(|m| m.ip).collect();
-        Operator { site: &self.site, record: &self.record, machines }
+        Operator {
+            site: &self.site,
+            record: &self.record,
+            machines,
+        }
     }
 
-    pub fn put_config(&self, version: u64, service: &str, idle_timeout_ms: u64) -> Result<(), String> {
+    pub fn put_config(
+        &self,
+        version: u64,
+        service: &str,
+        idle_timeout_ms: u64,
+    ) -> Result<(), String> {
         let body = config(version, self.route(), service, idle_timeout_ms);
         let acked = self.operator().until_ok(START, "PUT", "/config", &body);
-        acked.map(drop).ok_or_else(|| format!("version {version} is not acknowledged"))
+        acked
+            .map(drop)
+            .ok_or_else(|| format!("version {version} is not acknowledged"))
     }
 
     pub fn balancer(&self, n: usize) -> SocketAddrV4 {
