--- a/crates/consensus/src/member.rs
+++ b/crates/consensus/src/member.rs
@@ -37,7 +37,8 @@
 }
 
 /// Member of the replicated log.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[display("{role} {id} at {address}")]
 pub struct Member {
     /// Id of the member.
     pub id: MemberId,
@@ -52,7 +53,8 @@
 }
 
 /// All members at one index of the log.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Display, Eq, PartialEq)]
+#[display("{}", members.iter().map(ToString::to_string).collect::<Vec<_>>().join(", "))]
 pub struct Membership {
     members: Vec<Member>,
 }
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -76,10 +76,10 @@
     /// Starts a pre-vote, unless this member is not a voter.
     pub(super) fn campaign(&mut self, now: Instant) {
         self.reset_election_timer(now);
+        self.leader = None;
         if !self.membership().is_voter(self.id) {
             return;
         }
-        self.leader = None;
         self.request_votes(now, VoteKind::PreVote);
     }
 
--- a/crates/consensus/src/node/membership.rs
+++ b/crates/consensus/src/node/membership.rs
@@ -38,6 +38,11 @@
         "the joining host's number belongs to another member; give the host a number of its own"
     ))]
     NodeIdInUse,
+    /// The disk of the joining host belongs to another cluster.
+    #[snafu(display(
+        "the data folder of the joining host belongs to another cluster; start it with an empty one"
+    ))]
+    OtherCluster,
     /// A voter that replaces the same member has already joined.
     #[snafu(display("another host is already replacing the named host"))]
     AlreadyReplaced,
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -14,13 +14,14 @@
     ClusterId, FileError, FileStore, FolderLock, Identity, OsFolder,
 };
 use dogwoodrill_consensus::{
-    Batch, Envelope, HardState, Membership, Options, PersistedState, RoleName, Snapshot,
+    self as consensus, Batch, Envelope, HardState, Member, Membership, Options, PersistedState,
+    RoleName, Snapshot,
 };
 use dogwoodrill_core::config::CommittedConfig;
 use dogwoodrill_core::control_status::{
     ControlHost, ControlMember, ControlRole, ControlStatus, HostRefusal,
 };
-use dogwoodrill_core::ids::{LogIndex, Term};
+use dogwoodrill_core::ids::{LogIndex, NodeId, Term};
 use dogwoodrill_spread::beacon::CommitPosition;
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot};
@@ -103,6 +104,8 @@
     changes: BTreeMap<RequestId, ReplySender<dogwoodrill_core::changes::Accepted>>,
     reads: BTreeMap<RequestId, ReplySender<Arc<CommittedConfig>>>,
     last_role: RoleName,
+    /// The committed members when they were last logged.
+    last_members: Membership,
     _lock: FolderLock,
 }
 
@@ -138,6 +141,7 @@
             changes: BTreeMap::new(),
             reads: BTreeMap::new(),
             last_role: RoleName::Follower,
+            last_members: Membership::default(),
             _lock: storage.lock,
         }
     }
@@ -215,15 +219,45 @@
             Input::HostMembership { reply } => drop(reply.send(HostMembership {
                 identity: self.identity,
                 membership: self.replica.membership().clone(),
+                leader: self.replica.standing(now).leader,
             })),
             Input::Join {
                 member,
+                cluster,
                 replaces,
                 reply,
-            } => drop(reply.send(match replaces {
-                Some(lost) => self.replica.join(now, &member, lost),
-                None => self.replica.join_where_needed(now, &member),
-            })),
+            } => drop(reply.send(self.join(now, &member, cluster, replaces))),
+        }
+        Ok(())
+    }
+
+    fn join(
+        &mut self,
+        now: Instant,
+        joining: &Member,
+        cluster: Option<ClusterId>,
+        replaces: Option<NodeId>,
+    ) -> Result<(), consensus::JoinError> {
+        if cluster.is_some() && cluster != self.identity.cluster {
+            return Err(consensus::JoinError::OtherCluster);
+        }
+        let is_known = self.replica.membership().get(joining.id).is_some();
+        match replaces {
+            Some(lost) => self.replica.join(now, joining, lost)?,
+            None => self.replica.join_where_needed(now, joining)?,
+        }
+        if !is_known {
+            let members = self.replica.membership();
+            let replaced = members.get(joining.id).and_then(|m| m.replaces);
+            let (id, address) = (joining.id, joining.address);
+            match replaced.and_then(|id| members.get(id)) {
+                Some(m) => log::info!(
+                    "member {id} at {address} joins in place of member {} at {}",
+                    m.id,
+                    m.address
+                ),
+                None => log::info!("member {id} at {address} joins as an additional member"),
+            }
         }
         Ok(())
     }
@@ -459,6 +493,12 @@
             );
             self.last_role = standing.role;
         }
+        let members = standing.members.into_iter().map(|p| p.member);
+        let members = Membership::new(members);
+        if members != self.last_members {
+            log::info!("committed members: {members}");
+            self.last_members = members;
+        }
     }
 
     fn status(&self, now: Instant) -> ControlStatus {
--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dogwoodrill_consensus::store::file::{ClusterId, Identity};
-use dogwoodrill_consensus::{Envelope, JoinError, Member, Membership};
+use dogwoodrill_consensus::{Envelope, JoinError, Member, MemberId, Membership};
 use dogwoodrill_core::changes::{Accepted, Change, CommandId};
 use dogwoodrill_core::config::CommittedConfig;
 use dogwoodrill_core::control_status::{ControlStatus, HostRefusal};
@@ -32,6 +32,8 @@
     pub identity: Identity,
     /// The members that it knows.
     pub membership: Membership,
+    /// The current leader, if this host hears from one.
+    pub leader: Option<MemberId>,
 }
 
 /// A message or request for the driver.
@@ -70,10 +72,12 @@
         /// Receives the identity and the members.
         reply: oneshot::Sender<HostMembership>,
     },
-    /// Add a new host to the cluster.
+    /// Add a host to the cluster.
     Join {
         /// The host.
         member: Member,
+        /// The cluster that the disk of the host belongs to; `None` if it is empty.
+        cluster: Option<ClusterId>,
         /// The number of the host to replace; `None` lets the leader choose.
         replaces: Option<NodeId>,
         /// Receives the result.
@@ -129,14 +133,16 @@
         self.request(|reply| Input::HostMembership { reply }).await
     }
 
-    /// Adds a new host to the cluster, if this host leads.
+    /// Adds a host to the cluster, if this host leads.
     pub async fn join(
         &self,
         member: Member,
+        cluster: Option<ClusterId>,
         replaces: Option<NodeId>,
     ) -> Result<Result<(), JoinError>, DriverUnavailable> {
         let input = |reply| Input::Join {
             member,
+            cluster,
             replaces,
             reply,
         };
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -81,7 +81,8 @@
         let member = Member::try_from(member).map_err(malformed)?;
         let replaces = request.replaces_node;
         let replaces = (replaces != 0).then(|| replaces.into());
-        let joined = self.handle.join(member, replaces).await;
+        let cluster = (request.cluster != 0).then(|| ClusterId::new(request.cluster));
+        let joined = self.handle.join(member, cluster, replaces).await;
         let answer = match joined.map_err(unavailable)? {
             Ok(()) => Answer::TakenIn(true),
             Err(refusal) => Answer::Refusal(refusal.to_string()),
--- a/src/control/place.rs
+++ b/src/control/place.rs
@@ -250,6 +250,7 @@
         let request = wire::JoinRequest {
             member: Some((&joining).into()),
             replaces_node: replaced.get(),
+            cluster: 0,
         };
         let query = async {
             let channel = transport::connect(&self.cx, peer.address).await.ok()?;
--- a/src/forwarded/control/joiner.rs
+++ b/src/forwarded/control/joiner.rs
@@ -1,5 +1,9 @@
 //! How a control host becomes a member of a cluster without an operator: initial members bootstrap it, and a host
-//! with an empty disk requests to join.
+//! that no leader sends messages to requests to join.
+//!
+//! A host with an empty disk is not a member yet. A member that did not respond for long may have been replaced; the
+//! leader then sends it no messages any more, so the host cannot learn of it other than by a join request. A request
+//! of a host that still is a member changes nothing.
 
 use std::collections::{BTreeSet, VecDeque};
 use std::hash::Hasher;
@@ -7,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dogwoodrill_consensus::store::file::ClusterId;
+use dogwoodrill_consensus::store::file::{ClusterId, Identity};
 use dogwoodrill_consensus::{Member, MemberId, MemberRole, Membership};
 use dogwoodrill_core::control_status::ControlHost;
 use dogwoodrill_core::forwarded::node::{ControlHostSettings, NodeAddress, NodeRole, NodeSettings};
@@ -21,7 +25,7 @@
 
 use super::node_id_from_ip;
 use crate::context::Cx;
-use crate::control::handle::{Handle, Input};
+use crate::control::handle::{Handle, HostMembership, Input};
 use crate::transport;
 
 /// Interval between two attempts to bootstrap or join a cluster.
@@ -79,24 +83,28 @@
 }
 
 impl Joiner {
-    /// Runs until the future is dropped. Once the host belongs to a cluster, only the list of control hosts
-    /// is refreshed.
+    /// Runs until the future is dropped. While the host hears from a leader, only the list of control hosts is
+    /// refreshed.
     pub(super) async fn run(self, seeds: watch::Receiver<Arc<[NodeAddress]>>) {
         loop {
             if let Ok(host_membership) = self.handle.host_membership().await {
-                let identity = host_membership.identity;
+                let is_in_cluster = host_membership.identity.cluster.is_some();
+                if is_in_cluster {
+                    self.members
+                        .send_replace(node_addresses(&host_membership.membership));
+                }
                 match &self.initial_members {
-                    _ if identity.cluster.is_some() => {
-                        self.members
-                            .send_replace(node_addresses(&host_membership.membership));
+                    _ if is_in_cluster && host_membership.leader.is_some() => {
                         sleep(MEMBERS_REFRESH_INTERVAL).await;
                     }
-                    Some(initial_members) => self.bootstrap(initial_members).await,
-                    None => {
+                    Some(initial_members) if !is_in_cluster => {
+                        self.bootstrap(initial_members).await;
+                    }
+                    _ => {
                         // The guard must not be held across the requests, because it blocks writers of the
                         // seeds.
                         let known_seeds = seeds.borrow().clone();
-                        self.request_join(identity.host, &known_seeds).await;
+                        self.request_join(&host_membership, &known_seeds).await;
                     }
                 }
             }
@@ -126,18 +134,19 @@
         }
     }
 
-    /// Sends join requests to the seeds and then to the members that they return, until one accepts the host.
-    /// Only the leader can accept it, and the leader need not be among the seeds.
-    async fn request_join(&self, host: MemberId, seeds: &[NodeAddress]) {
+    /// Sends join requests to the seeds and the known members, and then to the members that they return, until one
+    /// accepts the host. Only the leader can accept it, and the leader need not be among the seeds.
+    async fn request_join(&self, own: &HostMembership, seeds: &[NodeAddress]) {
         let port = self.own.address.port();
         let seeds = seeds.iter().map(|s| SocketAddr::from((s.ip, port)));
-        let mut pending: VecDeque<_> = seeds.collect();
+        let members = own.membership.members().iter().map(|m| m.address);
+        let mut pending: VecDeque<_> = seeds.chain(members).collect();
         let mut queried = BTreeSet::from([self.own.address]);
         while let Some(address) = pending.pop_front() {
             if !queried.insert(address) {
                 continue;
             }
-            match timeout(JOIN_TIMEOUT, self.request_join_from(address, host)).await {
+            match timeout(JOIN_TIMEOUT, self.request_join_from(address, own.identity)).await {
                 Ok(Some(JoinOutcome::Accepted)) => {
                     log::info!("control host {address} accepted the join request");
                     return;
@@ -151,9 +160,13 @@
         }
     }
 
-    async fn request_join_from(&self, address: SocketAddr, host: MemberId) -> Option<JoinOutcome> {
+    async fn request_join_from(
+        &self,
+        address: SocketAddr,
+        identity: Identity,
+    ) -> Option<JoinOutcome> {
         let member = Member {
-            id: host,
+            id: identity.host,
             role: MemberRole::Learner,
             replaces: None,
             node: self.own.node,
@@ -162,6 +175,7 @@
         let request = consensus_wire::JoinRequest {
             member: Some((&member).into()),
             replaces_node: 0,
+            cluster: identity.cluster.map_or(0, ClusterId::get),
         };
         let channel = transport::connect(&self.cx, address).await.ok()?;
         let mut client = ConsensusClient::new(channel);
--- a/tests/testsuite/forwarded.rs
+++ b/tests/testsuite/forwarded.rs
@@ -74,6 +74,26 @@
     assert_eq!(put_document(&hosts, 5).await, 5);
 }
 
+/// Guards against a control host that was replaced while it did not respond, and then stayed outside the cluster
+/// for good, alive and with its disk.
+#[tokio::test]
+async fn a_replaced_host_that_returns_takes_the_place_of_a_lost_one() {
+    let (ports, data, more) = (free_ports(), temp_dirs::<3>(), temp_dirs::<1>());
+    let (seeds, mut hosts) = bootstrap_cluster(9, ports, &data).await;
+    put_document(&hosts.iter().collect::<Vec<_>>(), 3).await;
+    hosts.remove(2).kill().await;
+    let successor =
+        start_control_host(loopback_ip(9, 4), ports, &seeds, more[0].path(), false).await;
+    wait_until_voter(&successor, 3).await;
+    let returned = start_control_host(seeds[2], ports, &seeds, data[2].path(), false).await;
+    hosts.remove(1).kill().await;
+    let expected = [seeds[0], seeds[2], loopback_ip(9, 4)];
+    wait_until_voters_are(&successor, &expected).await;
+    hosts.remove(0).kill().await;
+    let hosts = [&successor, &returned];
+    assert_eq!(put_document(&hosts, 4).await, 4);
+}
+
 /// The only other seed of a wiped host is not the leader, but its answer lists the members, one of which is
 /// the leader.
 #[tokio::test]
--- a/tests/testsuite/forwarded/hosts.rs
+++ b/tests/testsuite/forwarded/hosts.rs
@@ -1,5 +1,6 @@
 //! Hosts that run the real drivers on loopback. Each host has its own address; all use the same ports.
 
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::Path;
 use std::sync::Arc;
@@ -231,6 +232,25 @@
         .expect("the host did not become a voter");
 }
 
+/// Waits until the voters that `host` knows of are those at `ips`.
+pub async fn wait_until_voters_are(host: &ControlHost, ips: &[Ipv4Addr]) {
+    let expected: BTreeSet<_> = ips.iter().map(|ip| node_id_from_ip(*ip)).collect();
+    let reached = async {
+        loop {
+            if let Ok(status) = host.handle.status().await {
+                let voters = status.members.iter().filter(|m| m.voter);
+                if voters.map(|m| m.host.node).collect::<BTreeSet<_>>() == expected {
+                    return;
+                }
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    timeout(HANG_GUARD, reached)
+        .await
+        .expect("the hosts did not become the voters");
+}
+
 /// Returns the index of the host that is the leader.
 pub async fn leader_index(hosts: &[ControlHost]) -> usize {
     let found = async {
