--- a/crates/consensus/src/node/leader.rs
+++ b/crates/consensus/src/node/leader.rs
@@ -31,21 +31,29 @@
     round: Round,
     /// Start time of that round, or of the campaign in which the member voted; `None` before the first contact.
     pub(super) contact: Option<Instant>,
+    /// Time at which the leader was elected or the member was added, whichever is later.
+    added_at: Instant,
     /// Time after which a snapshot in transit is sent again; `None` if no snapshot is in transit.
     snapshot_retry_at: Option<Instant>,
 }
 
 impl Progress {
-    fn new(next: LogIndex, contact: Option<Instant>) -> Self {
+    fn new(now: Instant, next: LogIndex, contact: Option<Instant>) -> Self {
         Self {
             next,
             synced: LogIndex::default(),
             round: Round::default(),
             contact,
+            added_at: now,
             snapshot_retry_at: None,
         }
     }
 
+    /// Returns the time since when the leader waits for a response of the member.
+    fn silent_since(&self) -> Instant {
+        self.contact.unwrap_or(self.added_at)
+    }
+
     /// Returns whether the member responded to a round that began within the last `timeout`.
     pub(super) fn is_reachable(&self, now: Instant, timeout: Duration) -> bool {
         self.contact.is_some_and(|contact| now < contact + timeout)
@@ -110,12 +118,18 @@
     }
 
     /// Adds a `Progress` for each member that joined and removes those of members that left.
-    fn update_peers(&mut self, own: MemberId, membership: &Membership, next: LogIndex) {
+    fn update_peers(
+        &mut self,
+        now: Instant,
+        own: MemberId,
+        membership: &Membership,
+        next: LogIndex,
+    ) {
         self.peers.retain(|id, _| membership.get(*id).is_some());
         let others = membership.members().iter().filter(|m| m.id != own);
         for member in others {
             let peer = self.peers.entry(member.id);
-            peer.or_insert(Progress::new(next, None));
+            peer.or_insert(Progress::new(now, next, None));
         }
     }
 
@@ -135,7 +149,7 @@
         let next = self.log.last_index().next();
         let mut peers = BTreeMap::new();
         for voter in campaign.supporters.iter().filter(|id| **id != self.id) {
-            peers.insert(*voter, Progress::new(next, Some(campaign.began_at)));
+            peers.insert(*voter, Progress::new(now, next, Some(campaign.began_at)));
         }
         self.role = Role::Leader(Box::new(Leader {
             peers,
@@ -148,17 +162,32 @@
         }));
         self.leader = Some(self.id);
         self.has_known_leader = true;
-        self.update_peers(next);
+        self.update_peers(now, next);
         self.add_entry(Payload::Noop);
         self.start_round(now);
     }
 
-    pub(super) fn update_peers(&mut self, next: LogIndex) {
+    pub(super) fn update_peers(&mut self, now: Instant, next: LogIndex) {
         if let Role::Leader(leader) = &mut self.role {
-            leader.update_peers(self.id, self.log.membership(), next);
+            leader.update_peers(now, self.id, self.log.membership(), next);
         }
     }
 
+    /// Returns the time since when this leader waits for a response of the member `id`; `None` if this member is not
+    /// the leader or `id` is not another member.
+    pub fn silent_since(&self, id: MemberId) -> Option<Instant> {
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        leader.peers.get(&id).map(Progress::silent_since)
+    }
+
+    /// Returns whether the member `id` has not responded to this leader for so long that another host may replace it.
+    pub fn is_lost(&self, now: Instant, id: MemberId) -> bool {
+        let since = self.silent_since(id);
+        since.is_some_and(|since| now >= since + self.options.replace_after)
+    }
+
     pub(super) fn on_leader_tick(&mut self, now: Instant) {
         self.check_lease(now);
         self.advance_membership(now);
--- a/crates/consensus/src/node/membership.rs
+++ b/crates/consensus/src/node/membership.rs
@@ -25,9 +25,9 @@
     /// Another membership change is not committed yet.
     #[snafu(display("another change of the control hosts is in progress; retry later"))]
     Busy,
-    /// The member to replace does not exist, or no member may be replaced.
+    /// The member to replace does not exist, or no member may be replaced now.
     #[snafu(display(
-        "no member can be replaced: the named host is not a member, or no voter is lost"
+        "no member can be replaced: the named host is not a member, or no member is lost"
     ))]
     NoReplaceableMember,
     /// The member to replace is the leader, which is evidently alive.
@@ -81,7 +81,7 @@
         // Removes an earlier learner that replaces the same member; it never counted towards a majority.
         let rest = earlier.map_or_else(|| membership.clone(), |m| membership.without(m.id));
         let changed = rest.with(learner);
-        self.change_membership(changed);
+        self.change_membership(now, changed);
         Ok(())
     }
 
@@ -98,7 +98,7 @@
             return;
         }
         if let Some(next) = self.promotion(now).or_else(|| self.removal()) {
-            self.change_membership(next);
+            self.change_membership(now, next);
         }
     }
 
@@ -145,10 +145,10 @@
         Some(membership.without(replaced).with(settled))
     }
 
-    fn change_membership(&mut self, membership: Membership) {
+    fn change_membership(&mut self, now: Instant, membership: Membership) {
         let next = self.log.last_index().next();
         self.add_entry(Payload::Membership(membership));
-        self.update_peers(next);
+        self.update_peers(now, next);
         self.send_entries();
     }
 }
--- a/crates/consensus/src/options.rs
+++ b/crates/consensus/src/options.rs
@@ -15,6 +15,8 @@
     pub first_election_timeout: Duration,
     /// Interval between the heartbeats of a leader.
     pub heartbeat_interval: Duration,
+    /// Time without a response to the leader after which another host may replace a member.
+    pub replace_after: Duration,
     /// Maximum number of entries in one message.
     pub max_entries: usize,
     /// Number of entries before the snapshot that stay in memory for members that are slightly behind.
@@ -27,6 +29,7 @@
             election_timeout: Duration::from_secs(1),
             first_election_timeout: Duration::from_secs(1),
             heartbeat_interval: Duration::from_millis(150),
+            replace_after: Duration::from_secs(3),
             max_entries: 512,
             retained_entries: 1024,
         }
--- a/crates/consensus/tests/testsuite/membership.rs
+++ b/crates/consensus/tests/testsuite/membership.rs
@@ -6,6 +6,9 @@
 use crate::simulation::{RELIABLE, Sabotage, Simulation};
 use crate::support::voters;
 
+/// Number of steps after which a silent host may be replaced.
+const SILENT_STEPS: u64 = 70;
+
 fn healthy_cluster(members: u64, seed: u64) -> Simulation {
     let mut simulation = Simulation::new(&voters(members), seed, Sabotage::Nothing);
     simulation.network = RELIABLE;
@@ -174,6 +177,50 @@
     assert!(propose(&mut simulation));
 }
 
+/// Guards against a successor that gets its place late because the leader starts to watch a silent member only at
+/// the first join request.
+#[test]
+fn a_host_that_was_silent_before_the_first_request_is_replaced_at_once() {
+    let mut simulation = healthy_cluster(3, 5);
+    let lost = follower(&simulation);
+    simulation.crash(lost, false);
+    simulation.hosts.get_mut(&lost).unwrap().lost = true;
+    simulation.run(SILENT_STEPS).unwrap();
+    simulation.add_spare();
+    simulation.request_joins().unwrap();
+    simulation.run(20).unwrap();
+    assert_snapshot!(members(&simulation), @"
+    host 0000000000000002 on node 2: voter
+    host 0000000000000003 on node 3: voter
+    host 0000000000000064 on node 100: voter
+    ");
+}
+
+/// Guards against a member that counts as lost since it did not respond at an earlier join request, although it
+/// responded in between.
+#[test]
+fn a_host_that_responded_between_two_requests_keeps_its_place() {
+    let mut simulation = healthy_cluster(3, 6);
+    let restarted = follower(&simulation);
+    simulation.add_spare();
+    for _ in 0..2 {
+        simulation.crash(restarted, true);
+        simulation.run(SILENT_STEPS / 2).unwrap();
+        simulation.request_joins().unwrap();
+        simulation.restart(restarted);
+        simulation.run(SILENT_STEPS / 2).unwrap();
+    }
+    simulation.crash(restarted, true);
+    simulation.run(SILENT_STEPS / 2).unwrap();
+    simulation.request_joins().unwrap();
+    simulation.run(20).unwrap();
+    assert_snapshot!(members(&simulation), @"
+    host 0000000000000001 on node 1: voter
+    host 0000000000000002 on node 2: voter
+    host 0000000000000003 on node 3: voter
+    ");
+}
+
 /// A spare host also sends join requests to followers, which receive messages only from the leader and
 /// see all other members as unreachable. A follower that becomes leader must not replace a member because
 /// of that.
--- a/crates/consensus/tests/testsuite/simulation.rs
+++ b/crates/consensus/tests/testsuite/simulation.rs
@@ -26,10 +26,8 @@
 const STRAGGLER_STEPS: u64 = 100;
 /// Factor by which a slow disk takes longer to sync.
 const SLOW_DISK_FACTOR: u64 = 20;
-/// Time without a response after which a voter may be replaced.
-pub const LOST_AFTER: Duration = Duration::from_millis(300);
 /// Number of steps for which a member and the leader must have been healthy for a replacement of the member to
-/// be a violation: `LOST_AFTER`, an election, and the delays of an unreliable network.
+/// be a violation: `replace_after`, an election, and the delays of an unreliable network.
 const HEALTHY_STEPS: u64 = 60 + 60;
 
 /// Rule that is broken on purpose, to verify that the checker detects it.
@@ -97,13 +95,14 @@
     pub speed: DiskSpeed,
     /// Node id of the host, which stays the same when the disk is wiped.
     pub node_id: NodeId,
-    join_policy: JoinPolicy,
     /// Step at which the host was last down, disconnected or without a disk of usual speed.
     last_faulty_at: u64,
     syncing: Option<(u64, Outputs)>,
     inbox: Vec<Envelope>,
     last_received_at: BTreeMap<MemberId, Instant>,
     membership: Membership,
+    /// The membership when the host was last checked.
+    checked: Membership,
     state: State,
     proposed: BTreeMap<LogIndex, Term>,
     reads: BTreeMap<ReadId, LogIndex>,
@@ -165,22 +164,18 @@
     }
 
     fn add_host(&mut self, id: MemberId, node_id: NodeId, disk: PersistedState) {
-        let lost_after = match self.sabotage {
-            Sabotage::ReplacedImmediately => Duration::ZERO,
-            _ => LOST_AFTER,
-        };
         let host = Host {
             node: None,
             disk,
             lost: false,
             speed: DiskSpeed::Usual,
             node_id,
-            join_policy: JoinPolicy::new(self.target_voters, lost_after),
             last_faulty_at: self.step,
             syncing: None,
             inbox: Vec::new(),
             last_received_at: BTreeMap::new(),
             membership: Membership::default(),
+            checked: Membership::default(),
             state: State::default(),
             proposed: BTreeMap::new(),
             reads: BTreeMap::new(),
@@ -222,7 +217,12 @@
         host.proposed.clear();
         host.reads.clear();
         host.state = State::default();
-        host.node = Some(Node::new(id, options(), host.disk.clone(), self.now, seed));
+        let mut options = options();
+        if self.sabotage == Sabotage::ReplacedImmediately {
+            // Any round trip takes longer.
+            options.replace_after = Duration::ZERO;
+        }
+        host.node = Some(Node::new(id, options, host.disk.clone(), self.now, seed));
     }
 
     /// Removes the host `replaced` permanently and starts one with an empty disk and the same node id.
@@ -301,7 +301,7 @@
         let result = match self.sabotage {
             Sabotage::NeverAdded => return Ok(()),
             Sabotage::UnlimitedMembers => node.join(now, joining, None),
-            _ => host.join_policy.join(now, node, joining),
+            _ => JoinPolicy::new(self.target_voters).join(now, node, joining),
         };
         if result.is_err() || before.get(joining.id).is_some() {
             return Ok(());
@@ -459,33 +459,40 @@
     fn run_host(&mut self, id: MemberId) -> Checked {
         let now = self.now;
         let host = self.hosts.get_mut(&id).unwrap();
-        if host.syncing.is_some() {
+        if host.syncing.is_some() || host.node.is_none() {
             return Ok(());
         }
-        let Some(node) = &mut host.node else {
-            return Ok(());
-        };
-        for envelope in std::mem::take(&mut host.inbox) {
+        // Each message is checked on its own: one may promote a learner, and the next one commit an entry that the
+        // learner does not have yet.
+        let inbox = std::mem::take(&mut host.inbox);
+        for envelope in inbox {
+            let host = self.hosts.get_mut(&id).unwrap();
             host.last_received_at.insert(envelope.from, now);
-            node.on_message(now, envelope);
+            host.node.as_mut().unwrap().on_message(now, envelope);
+            self.check_member(id)?;
         }
+        let node = self.hosts.get_mut(&id).unwrap().node.as_mut().unwrap();
         if now >= node.next_deadline() {
             node.on_tick(now);
+            self.check_member(id)?;
         }
+        let node = self.hosts.get_mut(&id).unwrap().node.as_mut().unwrap();
         let outputs = node.take();
-        self.check_member(id)?;
         self.process_outputs(id, outputs)
     }
 
     fn check_member(&mut self, id: MemberId) -> Checked {
+        let host = self.hosts.get_mut(&id).unwrap();
+        let checked = host.node.as_ref().unwrap().membership().clone();
+        let checked = std::mem::replace(&mut host.checked, checked);
         let host = &self.hosts[&id];
         let node = host.node.as_ref().unwrap();
         if node.status(self.now).role != RoleName::Leader {
             return Ok(());
         }
         let (term, commit) = (node.term(), node.commit());
-        let is_new_voter = |m: &MemberId| !host.membership.is_voter(*m);
-        let known = !host.membership.members().is_empty();
+        let is_new_voter = |m: &MemberId| !checked.is_voter(*m);
+        let known = !checked.members().is_empty();
         let promoted: Vec<_> = node.membership().voters().filter(is_new_voter).collect();
         for voter in promoted.into_iter().filter(|_| known) {
             let is_ready = self.hosts[&voter].disk.last_index() >= commit;
--- a/crates/consensus/tests/testsuite/support.rs
+++ b/crates/consensus/tests/testsuite/support.rs
@@ -12,6 +12,7 @@
         election_timeout: ELECTION_TIMEOUT,
         first_election_timeout: ELECTION_TIMEOUT,
         heartbeat_interval: Duration::from_millis(20),
+        replace_after: Duration::from_millis(300),
         max_entries: 8,
         retained_entries: 8,
     }
--- a/crates/core/src/forwarded/node.rs
+++ b/crates/core/src/forwarded/node.rs
@@ -69,6 +69,8 @@
     pub bootstrap: bool,
     /// Number of control hosts that may fail at the same time.
     pub tolerated_losses: usize,
+    /// Time after the start of a successor from which the host that it replaces no longer counts as lost.
+    pub catch_up: Duration,
 }
 
 /// Settings of the node's role.
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -252,9 +252,10 @@
             let (id, address) = (joining.id, joining.address);
             match replaced.and_then(|id| members.get(id)) {
                 Some(m) => log::info!(
-                    "member {id} at {address} joins in place of member {} at {}",
+                    "member {id} at {address} joins in place of member {} at {}, silent for {} ms",
                     m.id,
-                    m.address
+                    m.address,
+                    self.replica.silence(now, m.id).as_millis()
                 ),
                 None => log::info!("member {id} at {address} joins as an additional member"),
             }
--- a/src/control/place.rs
+++ b/src/control/place.rs
@@ -227,11 +227,12 @@
         })
     }
 
-    /// Sends a join request to each peer in turn; only the leader can add a host.
+    /// Sends a join request to all peers at once; only the leader can add a host.
     async fn request_to_join(&self, host: MemberId, replaced: NodeId) -> String {
         let mut refusals = Vec::new();
-        for peer in &self.peers {
-            match self.join_at(*peer, host, replaced).await {
+        let requests = self.peers.iter().map(|p| self.join_at(*p, host, replaced));
+        for (peer, answer) in self.peers.iter().zip(join_all(requests).await) {
+            match answer {
                 Some(Answer::TakenIn(_)) => {
                     return format!("added in place of control host {replaced}");
                 }
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -30,8 +30,6 @@
 const COMPACT_AFTER_ENTRIES: u64 = 8192;
 /// Size of the applied commands in bytes after which a snapshot is taken as well.
 const COMPACT_AFTER_BYTES: usize = 4 << 20;
-/// Time without a response after which another host may replace a voter; longer than a restart takes.
-pub const LOST_AFTER: Duration = Duration::from_secs(3);
 
 /// Identifies a request that waits for its reply.
 #[derive(Clone, Copy, Debug, Default, Display, Eq, From, Ord, PartialEq, PartialOrd)]
@@ -137,7 +135,7 @@
             next_read: 0,
             replies: Vec::new(),
             applied_bytes: 0,
-            vacancies: JoinPolicy::new(0, LOST_AFTER),
+            vacancies: JoinPolicy::new(0),
         }
     }
 
@@ -145,7 +143,7 @@
     /// fewer voters than `target`.
     #[must_use]
     pub fn with_target_voters(mut self, target: usize) -> Self {
-        self.vacancies = JoinPolicy::new(target, LOST_AFTER);
+        self.vacancies = JoinPolicy::new(target);
         self
     }
 
@@ -256,6 +254,12 @@
         self.vacancies.join(now, &mut self.node, joining)
     }
 
+    /// The time for which this leader has waited for a response of the member `id`.
+    pub fn silence(&self, now: Instant, id: MemberId) -> Duration {
+        let since = self.node.silent_since(id);
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
     /// Returns the actions that are due since the last call.
     pub fn take(&mut self, now: Instant) -> Result<ReplicaOutputs, StateError> {
         self.compact();
--- a/src/forwarded/control.rs
+++ b/src/forwarded/control.rs
@@ -56,8 +56,11 @@
 /// configuration.
 const LOG_TAIL: u64 = 16;
 
-fn log_options() -> Options {
+/// Returns the options of the log. Half of the time that a successor has to catch up is for noticing that its
+/// predecessor is gone, the other half for an election before that, and for joining.
+fn log_options(catch_up: Duration) -> Options {
     Options {
+        replace_after: (catch_up / 2).max(2 * ELECTION_TIMEOUT),
         election_timeout: ELECTION_TIMEOUT,
         first_election_timeout: FIRST_ELECTION_TIMEOUT,
         heartbeat_interval: HEARTBEAT_INTERVAL,
@@ -142,7 +145,7 @@
         let (handle, inputs) = handle::channel();
         let initial = CommittedConfig::default();
         let log_terms = LogOptions {
-            options: log_options(),
+            options: log_options(host_settings.catch_up),
             target_voters: 2 * host_settings.tolerated_losses + 1,
         };
         let driver = Driver::new(cx, &cluster, storage, address, initial, inputs, log_terms);
--- a/src/forwarded/control/joiner.rs
+++ b/src/forwarded/control/joiner.rs
@@ -5,7 +5,7 @@
 //! leader then sends it no messages any more, so the host cannot learn of it other than by a join request. A request
 //! of a host that still is a member changes nothing.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use std::hash::Hasher;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
@@ -19,16 +19,19 @@
 use dogwoodrill_wire::proto::consensus as consensus_wire;
 use dogwoodrill_wire::proto::consensus::consensus_client::ConsensusClient;
 use dogwoodrill_wire::proto::consensus::join_response::Answer;
+use futures_util::StreamExt;
+use futures_util::future::BoxFuture;
+use futures_util::stream::FuturesUnordered;
 use siphasher::sip::SipHasher13;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use super::node_id_from_ip;
 use crate::context::Cx;
 use crate::control::handle::{Handle, HostMembership, Input};
 use crate::transport;
 
-/// Interval between two attempts to bootstrap or join a cluster.
+/// Interval between two attempts to bootstrap a cluster, or between two join requests to one control host.
 const JOIN_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 /// Interval at which the list of control hosts is refreshed.
 const MEMBERS_REFRESH_INTERVAL: Duration = Duration::from_secs(1);
@@ -86,6 +89,7 @@
     /// Runs until the future is dropped. While the host hears from a leader, only the list of control hosts is
     /// refreshed.
     pub(super) async fn run(self, seeds: watch::Receiver<Arc<[NodeAddress]>>) {
+        let mut requests = JoinRequests::new(&self);
         loop {
             if let Ok(host_membership) = self.handle.host_membership().await {
                 let is_in_cluster = host_membership.identity.cluster.is_some();
@@ -95,6 +99,7 @@
                 }
                 match &self.initial_members {
                     _ if is_in_cluster && host_membership.leader.is_some() => {
+                        requests.cancel();
                         sleep(MEMBERS_REFRESH_INTERVAL).await;
                     }
                     Some(initial_members) if !is_in_cluster => {
@@ -104,7 +109,8 @@
                         // The guard must not be held across the requests, because it blocks writers of the
                         // seeds.
                         let known_seeds = seeds.borrow().clone();
-                        self.request_join(&host_membership, &known_seeds).await;
+                        requests.send_to_all(&host_membership, &known_seeds).await;
+                        continue;
                     }
                 }
             }
@@ -134,37 +140,7 @@
         }
     }
 
-    /// Sends join requests to the seeds and the known members, and then to the members that they return, until one
-    /// accepts the host. Only the leader can accept it, and the leader need not be among the seeds.
-    async fn request_join(&self, own: &HostMembership, seeds: &[NodeAddress]) {
-        let port = self.own.address.port();
-        let seeds = seeds.iter().map(|s| SocketAddr::from((s.ip, port)));
-        let members = own.membership.members().iter().map(|m| m.address);
-        let mut pending: VecDeque<_> = seeds.chain(members).collect();
-        let mut queried = BTreeSet::from([self.own.address]);
-        while let Some(address) = pending.pop_front() {
-            if !queried.insert(address) {
-                continue;
-            }
-            match timeout(JOIN_TIMEOUT, self.request_join_from(address, own.identity)).await {
-                Ok(Some(JoinOutcome::Accepted)) => {
-                    log::info!("control host {address} accepted the join request");
-                    return;
-                }
-                Ok(Some(JoinOutcome::Refused { reason, members })) => {
-                    log::debug!("control host {address} refused the join request: {reason}");
-                    pending.extend(members.members().iter().map(|m| m.address));
-                }
-                Ok(None) | Err(_) => log::debug!("control host {address} did not answer"),
-            }
-        }
-    }
-
-    async fn request_join_from(
-        &self,
-        address: SocketAddr,
-        identity: Identity,
-    ) -> Option<JoinOutcome> {
+    async fn request_join(&self, address: SocketAddr, identity: Identity) -> Option<JoinOutcome> {
         let member = Member {
             id: identity.host,
             role: MemberRole::Learner,
@@ -190,6 +166,77 @@
     }
 }
 
+/// A control host, and its answer to a join request; `None` without an answer.
+type JoinAnswer = (SocketAddr, Option<JoinOutcome>);
+
+/// The join requests in progress, at most one to each control host. They are sent to all at once, so that a host that
+/// does not answer delays none of them. Only the leader can accept the host, and the leader need not be among the
+/// seeds, so the members that a host returns receive a request too.
+struct JoinRequests<'a> {
+    joiner: &'a Joiner,
+    pending: FuturesUnordered<BoxFuture<'a, JoinAnswer>>,
+    addresses: BTreeSet<SocketAddr>,
+}
+
+impl<'a> JoinRequests<'a> {
+    fn new(joiner: &'a Joiner) -> Self {
+        Self {
+            joiner,
+            pending: FuturesUnordered::new(),
+            addresses: BTreeSet::new(),
+        }
+    }
+
+    /// Sends requests to the seeds and the known members, and handles the answers that arrive until the next
+    /// requests are due.
+    async fn send_to_all(&mut self, own: &HostMembership, seeds: &[NodeAddress]) {
+        let due = Instant::now() + JOIN_RETRY_INTERVAL;
+        let port = self.joiner.own.address.port();
+        let seeds = seeds.iter().map(|s| SocketAddr::from((s.ip, port)));
+        let members = own.membership.members().iter().map(|m| m.address);
+        let mut queried = BTreeSet::from([self.joiner.own.address]);
+        for address in seeds.chain(members) {
+            self.send(own.identity, address, &mut queried);
+        }
+        while let Ok(Some((address, outcome))) = timeout_at(due, self.pending.next()).await {
+            self.addresses.remove(&address);
+            match outcome {
+                Some(JoinOutcome::Accepted) => {
+                    log::info!("control host {address} accepted the join request");
+                }
+                Some(JoinOutcome::Refused { reason, members }) => {
+                    log::debug!("control host {address} refused the join request: {reason}");
+                    for member in members.members() {
+                        self.send(own.identity, member.address, &mut queried);
+                    }
+                }
+                None => log::debug!("control host {address} did not answer"),
+            }
+        }
+        sleep_until(due).await;
+    }
+
+    fn cancel(&mut self) {
+        self.pending.clear();
+        self.addresses.clear();
+    }
+
+    /// Sends a request to `address`, unless one was sent in this round or is in progress.
+    fn send(
+        &mut self,
+        identity: Identity,
+        address: SocketAddr,
+        queried: &mut BTreeSet<SocketAddr>,
+    ) {
+        if queried.insert(address) && self.addresses.insert(address) {
+            let request = self.joiner.request_join(address, identity);
+            let answer =
+                async move { (address, timeout(JOIN_TIMEOUT, request).await.ok().flatten()) };
+            self.pending.push(Box::pin(answer));
+        }
+    }
+}
+
 fn node_addresses(membership: &Membership) -> Arc<[NodeAddress]> {
     let ips = membership
         .members()
--- a/tests/testsuite/forwarded.rs
+++ b/tests/testsuite/forwarded.rs
@@ -94,6 +94,21 @@
     assert_eq!(put_document(&hosts, 4).await, 4);
 }
 
+/// Guards against a successor that waits for each silent seed in turn: all seeds take connections and never answer,
+/// as hosts without power do, and each gets a request before the first one is given up.
+#[tokio::test]
+async fn a_joining_host_asks_all_seeds_at_once() {
+    let (ports, data) = (free_ports(), temp_dirs::<1>());
+    let seeds: Vec<_> = (1..=3).map(|host| loopback_ip(10, host)).collect();
+    let mut events = silent_hosts(&seeds, ports).await;
+    let joining = loopback_ip(10, 4);
+    let _joining = start_control_host(joining, ports, &seeds, data[0].path(), false).await;
+    for _ in &seeds {
+        let event = timeout(HANG_GUARD, events.recv()).await.unwrap();
+        assert_eq!(event, Some(SilentHostEvent::Connected));
+    }
+}
+
 /// The only other seed of a wiped host is not the leader, but its answer lists the members, one of which is
 /// the leader.
 #[tokio::test]
--- a/tests/testsuite/forwarded/hosts.rs
+++ b/tests/testsuite/forwarded/hosts.rs
@@ -34,8 +34,9 @@
 use dogwoodrill_wire::proto::forwarded as wire;
 use prost::Message;
 use tempfile::TempDir;
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
@@ -43,6 +44,7 @@
 use crate::support::HANG_GUARD;
 
 pub const POLL_INTERVAL: Duration = Duration::from_millis(20);
+pub const CATCH_UP: Duration = Duration::from_secs(4);
 pub const CONFIG: &str = r#"{"version":VERSION,"routes":[{"name":"r","host":"198.18.0.1","path_prefix":"/443/",
 "timeout_ms":1500,"target_latency_ms":100,"priority":1,"service":"orders"}],
 "services":[{"name":"orders"}],"limits":{"idle_timeout_ms":15000}}"#;
@@ -126,6 +128,7 @@
         data_dir: data.to_owned(),
         bootstrap,
         tolerated_losses: 1,
+        catch_up: CATCH_UP,
     };
     let role = RoleSettings::Control(host_settings.clone());
     let settings = settings(ip, ports, seeds, role);
@@ -179,6 +182,35 @@
     }
 }
 
+/// What a host that never answers has seen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SilentHostEvent {
+    Connected,
+    Disconnected,
+}
+
+/// Listens for messages between nodes at `ips` without ever answering. Returns the events in their order.
+pub async fn silent_hosts(
+    ips: &[Ipv4Addr],
+    ports: Ports,
+) -> mpsc::UnboundedReceiver<SilentHostEvent> {
+    let (tx, rx) = mpsc::unbounded_channel();
+    for ip in ips {
+        let listener = TcpListener::bind((*ip, ports.inner)).await.unwrap();
+        let tx = tx.clone();
+        tokio::spawn(async move {
+            let mut buf = [0; 1024];
+            while let Ok((mut stream, _)) = listener.accept().await {
+                // The test may have ended.
+                drop(tx.send(SilentHostEvent::Connected));
+                while stream.read(&mut buf).await.is_ok_and(|len| len > 0) {}
+                drop(tx.send(SilentHostEvent::Disconnected));
+            }
+        });
+    }
+    rx
+}
+
 pub fn config_document(version: u64) -> Bytes {
     CONFIG.replace("VERSION", &version.to_string()).into()
 }
