--- a/crates/consensus/src/member.rs
+++ b/crates/consensus/src/member.rs
@@ -84,6 +84,11 @@
         self.members.iter().find(|m| m.node == node)
     }
 
+    /// Returns the member that replaces the member `id`.
+    pub fn replacement_of(&self, id: MemberId) -> Option<&Member> {
+        self.members.iter().find(|m| m.replaces == Some(id))
+    }
+
     /// Returns the ids of the voters.
     pub fn voters(&self) -> impl Iterator<Item = MemberId> {
         let voters = self.members.iter().filter(|m| m.role == MemberRole::Voter);
--- a/crates/consensus/src/node/membership.rs
+++ b/crates/consensus/src/node/membership.rs
@@ -43,7 +43,7 @@
         "the data folder of the joining host belongs to another cluster; start it with an empty one"
     ))]
     OtherCluster,
-    /// A voter that replaces the same member has already joined.
+    /// A voter, or a learner that responds, already replaces the same member.
     #[snafu(display("another host is already replacing the named host"))]
     AlreadyReplaced,
 }
@@ -68,10 +68,8 @@
         let is_known = replaced.is_none_or(|id| membership.get(id).is_some());
         ensure!(is_known, NoReplaceableMemberSnafu);
         ensure!(replaced != Some(self.id), ReplacesLeaderSnafu);
-        let mut members = membership.members().iter();
-        let earlier = members.find(|m| m.replaces.is_some() && m.replaces == replaced);
-        let is_voter = earlier.is_some_and(|m| m.role == MemberRole::Voter);
-        ensure!(!is_voter, AlreadyReplacedSnafu);
+        let is_replaceable = replaced.is_none_or(|id| self.is_replaceable(now, id, joining));
+        ensure!(is_replaceable, AlreadyReplacedSnafu);
         ensure!(self.can_change_membership(), BusySnafu);
         let learner = Member {
             role: MemberRole::Learner,
@@ -79,12 +77,23 @@
             ..joining.clone()
         };
         // Removes an earlier learner that replaces the same member; it never counted towards a majority.
+        let earlier = replaced.and_then(|id| membership.replacement_of(id));
         let rest = earlier.map_or_else(|| membership.clone(), |m| membership.without(m.id));
         let changed = rest.with(learner);
         self.change_membership(now, changed);
         Ok(())
     }
 
+    /// Returns whether `joining` may replace the member `replaced`: no other host does yet, or only a learner that is
+    /// lost or whose disk was lost on the same node. A learner that responds is about to become a voter.
+    pub fn is_replaceable(&self, now: Instant, replaced: MemberId, joining: &Member) -> bool {
+        let earlier = self.membership().replacement_of(replaced);
+        earlier.is_none_or(|m| {
+            let gives_way = m.node == joining.node || self.is_lost(now, m.id);
+            m.role == MemberRole::Learner && gives_way
+        })
+    }
+
     /// Returns whether a new change may start. The previous change must be committed, and so must an entry of
     /// this term: otherwise two leaders could change the same membership in different ways (Ongaro, raft-dev,
     /// July 2015).
--- a/crates/consensus/src/vacancies.rs
+++ b/crates/consensus/src/vacancies.rs
@@ -2,7 +2,7 @@
 //!
 //! The host replaces the member with the same node id, whose disk was lost; or it becomes an additional
 //! member while there are fewer members than the target; or it replaces a member that has not responded
-//! for long. Only the leader decides, and only from the responses that it received as the leader of its
+//! for long. A member that another host is about to replace is not offered again. Only the leader decides, and only from the responses that it received as the leader of its
 //! current term: a follower does not observe whether the other members respond.
 
 use std::time::Instant;
@@ -43,6 +43,7 @@
             return node.join(now, joining, None);
         }
         let lost = settled.filter(|m| node.is_lost(now, m.id));
+        let lost = lost.filter(|m| node.is_replaceable(now, m.id, joining));
         // The member that has been silent for longest is the least likely to return.
         let lost = lost.min_by_key(|m| node.silent_since(m.id)).map(|m| m.id);
         let lost = lost.ok_or(JoinError::NoReplaceableMember)?;
--- a/crates/consensus/tests/testsuite/membership.rs
+++ b/crates/consensus/tests/testsuite/membership.rs
@@ -221,6 +221,54 @@
     ");
 }
 
+/// Guards against two successors that get the same place, so that the first one is pushed out while it joins, and the
+/// other lost host stays a member.
+#[test]
+fn successors_that_join_together_replace_different_members() {
+    for seed in 0..20 {
+        let mut simulation = healthy_cluster(5, seed);
+        let leader = simulation.leader();
+        let followers = simulation
+            .ids()
+            .into_iter()
+            .filter(|id| Some(*id) != leader);
+        for lost in followers.take(2) {
+            simulation.replace_with_new_host(lost);
+        }
+        for _ in 0..150 {
+            simulation.step().unwrap();
+            simulation.request_joins().unwrap();
+        }
+        let status = simulation.status(simulation.leader().unwrap());
+        let members = status
+            .members
+            .iter()
+            .map(|p| (p.member.role, p.is_reachable));
+        let members: Vec<_> = members.collect();
+        assert_eq!(members, [(MemberRole::Voter, true); 5], "seed {seed}");
+    }
+}
+
+/// Guards against a learner that is pushed out by another host while it joins.
+#[test]
+fn a_learner_that_responds_keeps_the_place_that_it_joined_for() {
+    let mut simulation = healthy_cluster(3, 8);
+    let lost = follower(&simulation);
+    let first = simulation.replace(lost);
+    simulation.join_as_replacement(first, lost);
+    let second = simulation.add_spare();
+    for _ in 0..40 {
+        simulation.step().unwrap();
+        simulation.join_as_replacement(second, lost);
+    }
+    simulation.run(40).unwrap();
+    assert_snapshot!(members(&simulation), @"
+    host 0000000000000001 on node 1: voter
+    host 0000000000000003 on node 3: voter
+    host 0000000000000064 on node 2: voter
+    ");
+}
+
 /// A spare host also sends join requests to followers, which receive messages only from the leader and
 /// see all other members as unreachable. A follower that becomes leader must not replace a member because
 /// of that.
--- a/crates/consensus/tests/testsuite/simulation.rs
+++ b/crates/consensus/tests/testsuite/simulation.rs
@@ -263,10 +263,11 @@
     }
 
     /// Adds a host that requests to join while no member is lost.
-    pub fn add_spare(&mut self) {
+    pub fn add_spare(&mut self) -> MemberId {
         let node_id = NodeId::new(self.next_id);
         let new_member = self.add_empty_host(node_id);
         self.joining_hosts.insert(new_member);
+        new_member
     }
 
     /// Lets the hosts that are not members send join requests to every host that they reach; only a leader adds
@@ -341,7 +342,7 @@
     /// Sends every host a request to replace `replaced` by `joining`; only a leader handles it.
     pub fn join_as_replacement(&mut self, joining: MemberId, replaced: MemberId) {
         let joining = Member {
-            node: replaced.get().into(),
+            node: self.hosts[&joining].node_id,
             ..member(joining.get(), MemberRole::Learner)
         };
         for host in self.hosts.values_mut() {
