--- a/crates/core/src/forwarded/balancer.rs
+++ b/crates/core/src/forwarded/balancer.rs
@@ -189,7 +189,7 @@
         });
         let decision = Decision {
             node: chosen.map(|c| c.agent),
-            busy: chosen.map(|c| c.received.report.busy + c.received.sent_since),
+            busy: chosen.map(|c| c.received.expected_busy()),
             age: chosen.map(|c| now.saturating_duration_since(c.received.received_at)),
             service: Some(service.clone()),
             ..Decision::new(Step::Placed, key, index)
--- a/crates/core/src/forwarded/gate.rs
+++ b/crates/core/src/forwarded/gate.rs
@@ -45,8 +45,9 @@
 /// that it cannot complete in time wait at the agent, where newer requests may overtake them.
 pub fn capacity(work: Duration, busy: u32, slots: u32, target: Duration) -> Capacity {
     let slots = slots.max(1);
-    let is_late = placement::completion(work, busy, slots) + OVERHEAD > target;
-    if busy >= slots * MAX_PER_SLOT || (busy >= slots * UNCONDITIONAL_PER_SLOT && is_late) {
+    let is_late = placement::completion(work, busy, slots).saturating_add(OVERHEAD) > target;
+    let is_at = |per_slot| busy >= slots.saturating_mul(per_slot);
+    if is_at(MAX_PER_SLOT) || (is_at(UNCONDITIONAL_PER_SLOT) && is_late) {
         Capacity::Exhausted
     } else {
         Capacity::Available
@@ -57,7 +58,7 @@
 /// response will be late anyway: under sustained overload, a request that can still be on time arrives within
 /// milliseconds.
 pub fn would_idle(busy: u32, slots: u32) -> bool {
-    busy < slots.max(1) + MAX_LATE_AHEAD
+    busy < slots.max(1).saturating_add(MAX_LATE_AHEAD)
 }
 
 /// Returns why `flow` must not go to `server`, load aside; `None` if it may.
--- a/crates/core/src/forwarded/placement.rs
+++ b/crates/core/src/forwarded/placement.rs
@@ -47,7 +47,7 @@
 /// Expected completion time of a request at a server with `busy` other requests, each with a service time of
 /// `work`.
 pub fn completion(work: Duration, busy: u32, slots: u32) -> Duration {
-    work + work.saturating_mul(busy) / slots.max(1)
+    work.saturating_add(work.saturating_mul(busy) / slots.max(1))
 }
 
 /// Expected completion time of a request at a server, according to its last report.
@@ -55,7 +55,7 @@
     let report = &received.report;
     let work = work_time::or_default(report.work, report.is_cold);
     let idle_flows = work.saturating_mul(report.flows) / FLOWS_PER_REQUEST / report.slots.max(1);
-    completion(work, report.busy + received.sent_since, report.slots) + idle_flows
+    completion(work, received.expected_busy(), report.slots).saturating_add(idle_flows)
 }
 
 /// Whether suspended servers get flows as probes.
@@ -107,5 +107,5 @@
 
 /// Whether a request sent now is expected to be processed at once.
 const fn has_idle_slot(received: &ReceivedReport) -> bool {
-    received.report.busy + received.sent_since < received.report.slots
+    received.expected_busy() < received.report.slots
 }
--- a/crates/core/src/forwarded/report.rs
+++ b/crates/core/src/forwarded/report.rs
@@ -78,6 +78,13 @@
     pub sent_since: u32,
 }
 
+impl ReceivedReport {
+    /// Returns the number of requests at the server, with those sent to it since the report.
+    pub const fn expected_busy(&self) -> u32 {
+        self.report.busy.saturating_add(self.sent_since)
+    }
+}
+
 /// Whether an agent has a local backend server, and whether it has just started.
 #[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
 #[display("vacant {has_no_server}, young {is_recently_started}")]
--- a/crates/core/tests/testsuite/forwarded/gate.rs
+++ b/crates/core/tests/testsuite/forwarded/gate.rs
@@ -66,6 +66,18 @@
     );
 }
 
+/// Guards against limits that wrap around for a server with very many slots.
+#[rstest]
+#[case::a_third(u32::MAX / 3 + 1)]
+#[case::all(u32::MAX)]
+fn a_server_with_very_many_slots_has_capacity(#[case] slots: u32) {
+    assert_eq!(
+        gate::capacity(15 * MS, 5, slots, TERMS.target),
+        Capacity::Available
+    );
+    assert!(gate::would_idle(5, slots));
+}
+
 #[rstest]
 #[case::free(15, 0, Capacity::Available)]
 #[case::one_behind_each(15, 3, Capacity::Available)]
--- a/crates/core/tests/testsuite/forwarded/placing.rs
+++ b/crates/core/tests/testsuite/forwarded/placing.rs
@@ -31,6 +31,22 @@
     }
 }
 
+/// Guards against a report with numbers out of range, which wrapped around in the comparison of servers.
+#[test]
+fn a_report_with_extreme_numbers_neither_panics_nor_wins() {
+    let mut extreme = received_report(u32::MAX, "north", false);
+    extreme.report.flows = u32::MAX;
+    extreme.report.work = Some(Duration::from_micros(u32::MAX.into()));
+    extreme.sent_since = u32::MAX;
+    for slots in [0, 1, u32::MAX] {
+        extreme.report.slots = slots;
+        assert_eq!(
+            chosen(&[extreme.clone(), received_report(1, "north", false)]),
+            1
+        );
+    }
+}
+
 fn slow(ms: u64, mut received_report: ReceivedReport) -> ReceivedReport {
     received_report.report.work = Some(Duration::from_millis(ms));
     received_report
