Try every write of a control host again while its disk is full

What can happen here: a host ended when its disk was full at the moment in which it entered a cluster or wrote the first log of a new one, because the identity file was written without the retry that entries and rewrites have; and a follower reported a full disk until it got a change as leader.

Every write now goes through one place that tries again, and a host without room looks for it once a second.

The folder of a driver can be replaced, so that tests fill a disk without a device of its own.

--- a/crates/consensus/src/store/file/folder.rs
+++ b/crates/consensus/src/store/file/folder.rs
@@ -32,6 +32,44 @@
     fn reserve(&mut self, name: &str, bytes: u64) -> io::Result<()>;
 }
 
+impl<F: Folder + ?Sized> Folder for Box<F> {
+    fn list(&self) -> io::Result<Vec<String>> {
+        (**self).list()
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        (**self).read(name)
+    }
+
+    fn write_at(&mut self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        (**self).write_at(name, offset, bytes)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        (**self).sync(name)
+    }
+
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        (**self).truncate(name, length)
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        (**self).rename(from, to)
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        (**self).remove(name)
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        (**self).sync_folder()
+    }
+
+    fn reserve(&mut self, name: &str, bytes: u64) -> io::Result<()> {
+        (**self).reserve(name, bytes)
+    }
+}
+
 /// Folder in the file system.
 #[derive(Debug)]
 pub struct OsFolder {
--- a/crates/consensus/src/store/file/identity.rs
+++ b/crates/consensus/src/store/file/identity.rs
@@ -9,7 +9,9 @@
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 
 use super::frame::FORMAT_VERSION;
-use super::{FileError, Folder, IDENTITY_NAME, IoSnafu, replace_file};
+use super::{
+    FileError, Folder, IDENTITY_NAME, IoSnafu, StorageFullSnafu, is_storage_full, replace_file,
+};
 use crate::member::MemberId;
 
 const TITLE: &str = "dogwoodrill control host, format ";
@@ -128,10 +130,11 @@
 pub(super) fn save<F: Folder>(folder: &mut F, identity: &Identity) -> Result<(), FileError> {
     let body = identity.to_string();
     let text = format!("{body}checksum {}\n", checksum(&body));
-    replace_file(folder, IDENTITY_NAME, text.as_bytes()).context(IoSnafu {
-        action: "write",
-        file: IDENTITY_NAME,
-    })
+    let replaced = replace_file(folder, IDENTITY_NAME, text.as_bytes());
+    let file = IDENTITY_NAME;
+    ensure!(!is_storage_full(&replaced), StorageFullSnafu { file });
+    let action = "write";
+    replaced.context(IoSnafu { action, file })
 }
 
 pub(super) fn load<F: Folder>(folder: &F) -> Result<Option<Identity>, FileError> {
--- a/crates/consensus/tests/testsuite/core_life.rs
+++ b/crates/consensus/tests/testsuite/core_life.rs
@@ -128,6 +128,17 @@
         }
     }
 
+    /// Lets the first voter other than `id` stand still for a while.
+    fn freeze_other_voter(&mut self, id: MemberId) {
+        let mut others = self.simulation.ids().into_iter();
+        if let Some(still) = others.find(|other| *other != id && self.is_voter(*other)) {
+            self.simulation.hosts.get_mut(&still).unwrap().speed = DiskSpeed::Stalled;
+            self.isolate(still);
+            self.schedule_end(FAULT_STEPS, FaultEnd::RestoreDisk(still));
+            self.schedule_end(FAULT_STEPS, FaultEnd::HealNetwork);
+        }
+    }
+
     fn inject_fault(&mut self) -> Checked {
         let leader = self.simulation.leader();
         match self.scenario {
@@ -148,14 +159,7 @@
                 let id = self.random_voter();
                 self.simulation.add_spare();
                 self.schedule_end(RECOVERY_STEPS, FaultEnd::RemoveHost(id));
-                let mut others = self.simulation.ids().into_iter();
-                let still = others.find(|other| *other != id && self.is_voter(*other));
-                if let Some(still) = still {
-                    self.simulation.hosts.get_mut(&still).unwrap().speed = DiskSpeed::Stalled;
-                    self.isolate(still);
-                    self.schedule_end(FAULT_STEPS, FaultEnd::RestoreDisk(still));
-                    self.schedule_end(FAULT_STEPS, FaultEnd::HealNetwork);
-                }
+                self.freeze_other_voter(id);
             }
             Scenario::TwoReplaced => {
                 for _ in 0..self.simulation.target_voters / 2 {
--- a/crates/consensus/tests/testsuite/store.rs
+++ b/crates/consensus/tests/testsuite/store.rs
@@ -389,6 +389,30 @@
     );
 }
 
+/// Guards against a disk path that ends the host when the disk rejects all writes for a while.
+#[rstest]
+#[case::append(|store: &mut FileStore<MemoryFolder>| store.write(&batch(3, 300)))]
+#[case::rewrite(|store: &mut FileStore<MemoryFolder>| store.write(&Batch::Rewrite(first())))]
+#[case::identity(|store: &mut FileStore<MemoryFolder>| store.save_identity(&identity()))]
+fn each_write_to_a_full_disk_can_be_retried(
+    #[case] write: fn(&mut FileStore<MemoryFolder>) -> Result<(), FileError>,
+) {
+    let folder = MemoryFolder::default();
+    let mut store = create(&folder).unwrap();
+    store.write(&batch(2, 300)).unwrap();
+    folder.set_capacity(Some(0));
+    for _ in 0..3 {
+        let rejected = write(&mut store).unwrap_err();
+        assert!(rejected.is_storage_full(), "{rejected}");
+    }
+    folder.set_capacity(None);
+    write(&mut store).unwrap();
+    assert!(store.restore_ballast());
+    folder.crash(Unsynced::Lost);
+    let log = open(&folder).unwrap().unwrap();
+    assert_eq!(log.identity, identity());
+}
+
 #[test]
 fn a_rewrite_leaves_one_generation() {
     let (folder, _, restored) = three_batches(10);
--- a/src/control.rs
+++ b/src/control.rs
@@ -36,14 +36,14 @@
 pub mod place;
 pub mod replica;
 mod spread;
-pub(crate) mod storage;
+pub mod storage;
 
 use driver::{Driver, DriverError, LogOptions};
 use handle::Handle;
 use members::ConsensusService;
 use operators::OperatorService;
 use place::{ClusterJoiner, MembershipError};
-use storage::Storage;
+use storage::{Storage, open_data_folder};
 
 /// The options of a control host.
 #[derive(Clone, Debug)]
@@ -156,7 +156,12 @@
             .await
             .context(BindSnafu { address })?;
         let address = listener.local_addr().context(BindSnafu { address })?;
-        let storage = Storage::open(cx.node, &options.data, None)?;
+        let storage = Storage::open(
+            cx.node,
+            &options.data,
+            open_data_folder(&options.data)?,
+            None,
+        )?;
         let cluster = Arc::new(Cluster::default());
         let (handle, inputs) = handle::channel();
         let driver = Driver::new(
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -10,9 +10,7 @@
 use std::time::{Duration, Instant};
 
 use dogwoodrill_consensus::store::Store;
-use dogwoodrill_consensus::store::file::{
-    ClusterId, FileError, FileStore, FolderLock, Identity, OsFolder,
-};
+use dogwoodrill_consensus::store::file::{ClusterId, FileError, FileStore, FolderLock, Identity};
 use dogwoodrill_consensus::{
     self as consensus, Batch, Envelope, HardState, Member, Membership, Options, PersistedState,
     RoleName, Snapshot,
@@ -35,7 +33,7 @@
 use super::replica::{
     Proposal, Replica, ReplicaOutputs, Reply, RequestId, StateError, first_state,
 };
-use super::storage::Storage;
+use super::storage::{DataFolder, Storage};
 use crate::cluster::{BeaconSource, Cluster};
 use crate::context::{Cx, wall_clock};
 
@@ -96,7 +94,7 @@
     peers: Peers,
     replica: Replica,
     /// `None` while another thread writes.
-    store: Option<FileStore<OsFolder>>,
+    store: Option<FileStore<DataFolder>>,
     disk_full: bool,
     next_space_check: Instant,
     next_request_id: u64,
@@ -165,6 +163,7 @@
                 },
                 () = sleep_until(deadline) => {}
             }
+            self.check_disk_space().await?;
             let now = Instant::now();
             if now >= self.replica.next_deadline() {
                 self.replica.on_tick(now);
@@ -247,22 +246,26 @@
             None => self.replica.join_where_needed(now, joining)?,
         }
         if !is_known {
-            let members = self.replica.membership();
-            let replaced = members.get(joining.id).and_then(|m| m.replaces);
-            let (id, address) = (joining.id, joining.address);
-            match replaced.and_then(|id| members.get(id)) {
-                Some(m) => log::info!(
-                    "member {id} at {address} joins in place of member {} at {}, silent for {} ms",
-                    m.id,
-                    m.address,
-                    self.replica.silence(now, m.id).as_millis()
-                ),
-                None => log::info!("member {id} at {address} joins as an additional member"),
-            }
+            self.log_join(now, joining);
         }
         Ok(())
     }
 
+    fn log_join(&self, now: Instant, joining: &Member) {
+        let (id, address) = (joining.id, joining.address);
+        let members = self.replica.membership();
+        let replaced = members.get(id).and_then(|m| m.replaces);
+        match replaced.and_then(|replaced| members.get(replaced)) {
+            Some(m) => log::info!(
+                "member {id} at {address} joins in place of member {} at {}, silent for {} ms",
+                m.id,
+                m.address,
+                self.replica.silence(now, m.id).as_millis()
+            ),
+            None => log::info!("member {id} at {address} joins as an additional member"),
+        }
+    }
+
     fn request_id(&mut self) -> RequestId {
         self.next_request_id += 1;
         self.next_request_id.into()
@@ -292,7 +295,7 @@
     async fn enter_cluster(&mut self, cluster: ClusterId) -> Result<(), DriverError> {
         self.identity.cluster = Some(cluster);
         let identity = self.identity;
-        self.with_store(move |store| store.save_identity(&identity))
+        self.write(move |store| store.save_identity(&identity))
             .await?;
         log::info!("this control host is in cluster {cluster}");
         Ok(())
@@ -326,8 +329,8 @@
             },
             entries: Vec::new(),
         };
-        let first = Batch::Rewrite(restored.clone());
-        self.with_store(move |store| store.write(&first)).await?;
+        let first = Arc::new(Batch::Rewrite(restored.clone()));
+        self.write(move |store| store.write(&first)).await?;
         let random_id = || ClusterId::new(rand::random_range(1..=u64::MAX));
         self.enter_cluster(cluster.unwrap_or_else(random_id))
             .await?;
@@ -395,7 +398,8 @@
         }
         if !outputs.batch.is_empty() {
             let began_at = Instant::now();
-            self.write(Arc::new(outputs.batch)).await?;
+            let batch = Arc::new(outputs.batch);
+            self.write(move |store| store.write(&batch)).await?;
             self.metrics
                 .sync_seconds
                 .observe(began_at.elapsed().as_secs_f64());
@@ -407,13 +411,15 @@
         Ok(())
     }
 
-    /// Writes a batch. While the disk accepts no data at all, this host handles no input, as with a
+    /// Writes by `work`, which has no effect if the disk is full. While the disk accepts no data at all, this host handles no input, as with a
     /// disk that does not respond: the other hosts elect another leader, and nothing is confirmed to
     /// anyone that is not on this disk.
-    async fn write(&mut self, batch: Arc<Batch>) -> Result<(), DriverError> {
+    async fn write<F>(&mut self, work: F) -> Result<(), DriverError>
+    where
+        F: Fn(&mut FileStore<DataFolder>) -> Result<(), FileError> + Clone + Send + 'static,
+    {
         loop {
-            let batch = Arc::clone(&batch);
-            match self.with_store(move |store| store.write(&batch)).await {
+            match self.with_store(work.clone()).await {
                 Err(DriverError::Disk { source }) if source.is_storage_full() => {
                     self.set_disk_full(true);
                     sleep(DISK_FULL_RETRY_DELAY).await;
@@ -427,7 +433,7 @@
     async fn with_store<T, F>(&mut self, work: F) -> Result<T, DriverError>
     where
         T: Send + 'static,
-        F: FnOnce(&mut FileStore<OsFolder>) -> Result<T, FileError> + Send + 'static,
+        F: FnOnce(&mut FileStore<DataFolder>) -> Result<T, FileError> + Send + 'static,
     {
         let mut store = self
             .store
--- a/src/forwarded/control.rs
+++ b/src/forwarded/control.rs
@@ -34,7 +34,7 @@
 use crate::control::driver::{Driver, DriverError, LogOptions};
 use crate::control::handle::{self, Handle};
 use crate::control::members::ConsensusService;
-use crate::control::storage::Storage;
+use crate::control::storage::{DataFolder, Storage, open_data_folder};
 use crate::transport;
 
 mod joiner;
@@ -131,6 +131,19 @@
         host_settings: &ControlHostSettings,
         read: ParseDocument,
         journal: Journal,
+    ) -> Result<Self, ControlNodeError> {
+        let folder = open_data_folder(&host_settings.data_dir)?;
+        Self::bind_with_folder(cx, settings, host_settings, folder, read, journal).await
+    }
+
+    /// Binds the sockets and opens the log in `folder`, which holds the files of the data folder.
+    pub async fn bind_with_folder(
+        cx: &Cx,
+        settings: &NodeSettings,
+        host_settings: &ControlHostSettings,
+        folder: DataFolder,
+        read: ParseDocument,
+        journal: Journal,
     ) -> Result<Self, ControlNodeError> {
         let address = SocketAddr::from((settings.ip, settings.inner_port));
         let bind = SocketAddr::from((settings.bind_ip, settings.inner_port));
@@ -140,7 +153,7 @@
             .context(ListenSnafu { address: bind })?;
         let initial_members = initial_members(settings, host_settings);
         let own_id = initial_members.as_ref().map(|_| initial_member_id(address));
-        let storage = Storage::open(cx.node, &host_settings.data_dir, own_id)?;
+        let storage = Storage::open(cx.node, &host_settings.data_dir, folder, own_id)?;
         let cluster = Arc::new(Cluster::default());
         let (handle, inputs) = handle::channel();
         let initial = CommittedConfig::default();
--- a/tests/testsuite/forwarded.rs
+++ b/tests/testsuite/forwarded.rs
@@ -12,6 +12,7 @@
 
 use crate::support::HANG_GUARD;
 
+mod disks;
 mod hosts;
 
 use hosts::*;
--- a/tests/testsuite/forwarded/hosts.rs
+++ b/tests/testsuite/forwarded/hosts.rs
@@ -9,10 +9,12 @@
 use bytes::Bytes;
 use dogwoodrill::context::Cx;
 use dogwoodrill::control::handle::Handle;
+use dogwoodrill::control::storage::DataFolder;
 use dogwoodrill::forwarded::agent::{AgentNode, ServerHandle};
 use dogwoodrill::forwarded::balancer::BalancerNode;
 use dogwoodrill::forwarded::control::{ControlNode, ControlNodeError, node_id_from_ip};
 use dogwoodrill::forwarded::journal::Journal;
+use dogwoodrill_consensus::store::file::OsFolder;
 use dogwoodrill_core::changes::Change;
 use dogwoodrill_core::config::{Document, Version};
 use dogwoodrill_core::control_status::ControlRole;
@@ -122,6 +124,18 @@
     seeds: &[Ipv4Addr],
     data: &Path,
     bootstrap: bool,
+) -> ControlHost {
+    let folder = Box::new(OsFolder::open(data).unwrap());
+    start_control_host_with_folder(ip, ports, seeds, data, bootstrap, folder).await
+}
+
+pub async fn start_control_host_with_folder(
+    ip: Ipv4Addr,
+    ports: Ports,
+    seeds: &[Ipv4Addr],
+    data: &Path,
+    bootstrap: bool,
+    folder: DataFolder,
 ) -> ControlHost {
     let host_settings = ControlHostSettings {
         operators: SocketAddrV4::new(ip, 0),
@@ -133,9 +147,10 @@
     let role = RoleSettings::Control(host_settings.clone());
     let settings = settings(ip, ports, seeds, role);
     let journal = Journal::start("test");
-    let node = ControlNode::bind(&cx(ip), &settings, &host_settings, read, journal)
-        .await
-        .unwrap();
+    let cx = cx(ip);
+    let node =
+        ControlNode::bind_with_folder(&cx, &settings, &host_settings, folder, read, journal).await;
+    let node = node.unwrap();
     let (tx, rx) = watch::channel(addresses(seeds));
     let token = CancellationToken::new();
     ControlHost {
@@ -202,9 +217,9 @@
             let mut buf = [0; 1024];
             while let Ok((mut stream, _)) = listener.accept().await {
                 // The test may have ended.
-                drop(tx.send(SilentHostEvent::Connected));
+                let _ended = tx.send(SilentHostEvent::Connected);
                 while stream.read(&mut buf).await.is_ok_and(|len| len > 0) {}
-                drop(tx.send(SilentHostEvent::Disconnected));
+                let _ended = tx.send(SilentHostEvent::Disconnected);
             }
         });
     }
@@ -283,6 +298,29 @@
         .expect("the hosts did not become the voters");
 }
 
+/// Waits until one of the hosts lists the host at `ip` as a learner.
+pub async fn wait_until_learner(hosts: &[ControlHost], ip: Ipv4Addr) {
+    let node = node_id_from_ip(ip);
+    let reached = async {
+        loop {
+            for host in hosts {
+                if let Ok(status) = host.handle.status().await
+                    && status
+                        .members
+                        .iter()
+                        .any(|m| !m.voter && m.host.node == node)
+                {
+                    return;
+                }
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    timeout(HANG_GUARD, reached)
+        .await
+        .expect("the host did not become a learner");
+}
+
 /// Returns the index of the host that is the leader.
 pub async fn leader_index(hosts: &[ControlHost]) -> usize {
     let found = async {
