--- a/crates/consensus/src/vacancies.rs
+++ b/crates/consensus/src/vacancies.rs
@@ -2,8 +2,9 @@
 //!
 //! The host replaces the member with the same node id, whose disk was lost; or it becomes an additional
 //! member while there are fewer members than the target; or it replaces a member that has not responded
-//! for long. A member that another host is about to replace is not offered again. Only the leader decides, and only from the responses that it received as the leader of its
-//! current term: a follower does not observe whether the other members respond.
+//! for long. A member that another host is about to replace is not offered again. Only the leader decides,
+//! and only from the responses that it received as the leader of its current term: a follower does not
+//! observe whether the other members respond.
 
 use std::time::Instant;
 
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -411,9 +411,9 @@
         Ok(())
     }
 
-    /// Writes by `work`, which has no effect if the disk is full. While the disk accepts no data at all, this host handles no input, as with a
-    /// disk that does not respond: the other hosts elect another leader, and nothing is confirmed to
-    /// anyone that is not on this disk.
+    /// Writes by `work`, which has no effect if the disk is full. While the disk accepts no data at all, this
+    /// host handles no input, as with a disk that does not respond: the other hosts elect another leader, and
+    /// nothing is confirmed to anyone that is not on this disk.
     async fn write<F>(&mut self, work: F) -> Result<(), DriverError>
     where
         F: Fn(&mut FileStore<DataFolder>) -> Result<(), FileError> + Clone + Send + 'static,
