--- a/crates/consensus/src/store/file.rs
+++ b/crates/consensus/src/store/file.rs
@@ -179,11 +179,7 @@
             self.release_ballast()?;
             written = self.folder.write_at(&name, self.end, &bytes);
         }
-        ensure!(!is_storage_full(&written), StorageFullSnafu { file: &name });
-        written.context(IoSnafu {
-            action: "write",
-            file: &name,
-        })?;
+        check_written(written, &name)?;
         self.folder.sync(&name).context(IoSnafu {
             action: "sync",
             file: &name,
@@ -209,14 +205,7 @@
             self.release_ballast()?;
             replaced = self.replace(&name, &bytes);
         }
-        ensure!(
-            !is_storage_full(&replaced),
-            StorageFullSnafu { file: &name }
-        );
-        replaced.context(IoSnafu {
-            action: "write",
-            file: &name,
-        })?;
+        check_written(replaced, &name)?;
         let previous = std::mem::replace(&mut self.generation, next);
         self.end = bytes.len() as u64;
         if previous > 0 {
@@ -272,6 +261,13 @@
     result.as_ref().is_err_and(|e| kinds.contains(&e.kind()))
 }
 
+/// Returns the error of a write to `file`; a full disk has one of its own, since such a write may be retried.
+fn check_written(written: io::Result<()>, file: &str) -> Result<(), FileError> {
+    ensure!(!is_storage_full(&written), StorageFullSnafu { file });
+    let action = "write";
+    written.context(IoSnafu { action, file })
+}
+
 /// Encodes a generation: header, snapshot and the entries after it.
 fn generation_bytes(host: MemberId, generation: u64, restored: &PersistedState) -> Vec<u8> {
     let mut bytes = frame::header(host, generation);
--- a/crates/consensus/src/store/file/identity.rs
+++ b/crates/consensus/src/store/file/identity.rs
@@ -9,9 +9,7 @@
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 
 use super::frame::FORMAT_VERSION;
-use super::{
-    FileError, Folder, IDENTITY_NAME, IoSnafu, StorageFullSnafu, is_storage_full, replace_file,
-};
+use super::{FileError, Folder, IDENTITY_NAME, IoSnafu, check_written, replace_file};
 use crate::member::MemberId;
 
 const TITLE: &str = "dogwoodrill control host, format ";
@@ -131,10 +129,7 @@
     let body = identity.to_string();
     let text = format!("{body}checksum {}\n", checksum(&body));
     let replaced = replace_file(folder, IDENTITY_NAME, text.as_bytes());
-    let file = IDENTITY_NAME;
-    ensure!(!is_storage_full(&replaced), StorageFullSnafu { file });
-    let action = "write";
-    replaced.context(IoSnafu { action, file })
+    check_written(replaced, IDENTITY_NAME)
 }
 
 pub(super) fn load<F: Folder>(folder: &F) -> Result<Option<Identity>, FileError> {
--- a/crates/consensus/tests/testsuite/core_life.rs
+++ b/crates/consensus/tests/testsuite/core_life.rs
@@ -33,8 +33,8 @@
     PlannedReplacement,
     /// The same, and before the old host is removed another one stands still for longer than it takes to be replaced.
     PlannedReplacementWhileOneStandsStill,
-    /// Two hosts are removed, and two with new node ids join, as soon as they may.
-    TwoReplaced,
+    /// As many hosts as may be lost at once are removed, and as many with new node ids join.
+    ReplacedTogether,
     /// All hosts lose power at the same time.
     PowerLoss,
     /// The network is partitioned into two groups.
@@ -161,7 +161,7 @@
                 self.schedule_end(RECOVERY_STEPS, FaultEnd::RemoveHost(id));
                 self.freeze_other_voter(id);
             }
-            Scenario::TwoReplaced => {
+            Scenario::ReplacedTogether => {
                 for _ in 0..self.simulation.target_voters / 2 {
                     let id = self.random_voter();
                     self.simulation.replace_with_new_host(id);
@@ -227,7 +227,7 @@
                 }
             }
             Scenario::SpareHostJoins => {
-                if self.simulation.joining_hosts.is_empty() {
+                if self.simulation.hosts.len() == self.simulation.target_voters {
                     self.simulation.add_spare();
                 }
                 let id = self.random_voter();
@@ -358,7 +358,7 @@
         Scenario::Replaced,
         Scenario::PlannedReplacement,
         Scenario::PlannedReplacementWhileOneStandsStill,
-        Scenario::TwoReplaced,
+        Scenario::ReplacedTogether,
         Scenario::PowerLoss,
         Scenario::Partition,
         Scenario::OneWayPartition,
@@ -391,7 +391,7 @@
             | Scenario::Replaced
             | Scenario::PlannedReplacement
             | Scenario::PlannedReplacementWhileOneStandsStill
-            | Scenario::TwoReplaced
+            | Scenario::ReplacedTogether
             | Scenario::LeaderWipedAfterAccept
     );
     assert!(
--- a/crates/consensus/tests/testsuite/simulation.rs
+++ b/crates/consensus/tests/testsuite/simulation.rs
@@ -115,8 +115,6 @@
     pub checker: Checker,
     /// Links on which no message is delivered, as sender and receiver.
     pub cut_links: BTreeSet<(MemberId, MemberId)>,
-    /// Hosts that request to join without naming a member to replace.
-    pub joining_hosts: BTreeSet<MemberId>,
     /// Target number of voters.
     pub target_voters: usize,
     sabotage: Sabotage,
@@ -148,7 +146,6 @@
             network: UNRELIABLE,
             checker: Checker::default(),
             cut_links: BTreeSet::new(),
-            joining_hosts: BTreeSet::new(),
             target_voters: voters.voters().count(),
             sabotage,
             now: start(),
@@ -249,8 +246,7 @@
             self.restart(id);
             return;
         }
-        let new_member = self.replace(id);
-        self.joining_hosts.insert(new_member);
+        self.replace(id);
     }
 
     /// Removes a host permanently; a host with another node id requests to join.
@@ -258,16 +254,13 @@
         self.crash(id, false);
         self.hosts.get_mut(&id).unwrap().lost = true;
         let node_id = NodeId::new(self.next_id);
-        let new_member = self.add_empty_host(node_id);
-        self.joining_hosts.insert(new_member);
+        self.add_empty_host(node_id);
     }
 
     /// Adds a host that requests to join while no member is lost.
     pub fn add_spare(&mut self) -> MemberId {
         let node_id = NodeId::new(self.next_id);
-        let new_member = self.add_empty_host(node_id);
-        self.joining_hosts.insert(new_member);
-        new_member
+        self.add_empty_host(node_id)
     }
 
     /// Lets the hosts that hear from no leader send join requests to every host that they reach; only a leader adds
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -500,11 +500,10 @@
             );
             self.last_role = standing.role;
         }
-        let members = standing.members.into_iter().map(|p| p.member);
-        let members = Membership::new(members);
-        if members != self.last_members {
-            log::info!("committed members: {members}");
-            self.last_members = members;
+        let members = standing.members.iter().map(|p| &p.member);
+        if !members.clone().eq(self.last_members.members()) {
+            self.last_members = Membership::new(members.cloned());
+            log::info!("committed members: {}", self.last_members);
         }
     }
 
--- a/tests/testsuite/forwarded/disks.rs
+++ b/tests/testsuite/forwarded/disks.rs
@@ -7,10 +7,8 @@
 
 use dogwoodrill_consensus::store::file::{Folder, OsFolder};
 use tempfile::TempDir;
-use tokio::time::{sleep, timeout};
 
 use super::hosts::*;
-use crate::support::HANG_GUARD;
 
 /// Whether the disk of a [`FillableFolder`] is full.
 #[derive(Clone, Debug, Default)]
@@ -93,20 +91,12 @@
     (host.await, disk)
 }
 
-async fn wait_until_disk_is_full(host: &ControlHost, expected: bool) {
-    let reached = async {
-        while host
-            .handle
-            .status()
-            .await
-            .is_ok_and(|s| s.disk_full != expected)
-        {
-            sleep(POLL_INTERVAL).await;
-        }
+async fn wait_until_disk_has_space(host: &ControlHost) {
+    let has_space = async || {
+        let status = host.handle.status().await.ok()?;
+        (!status.disk_full).then_some(())
     };
-    timeout(HANG_GUARD, reached)
-        .await
-        .expect("the host reports another state of its disk");
+    poll_until("the host still reports a full disk", has_space).await;
 }
 
 /// Guards against changes that are refused or unanswered long after the disks have room again. The disks are full one
@@ -129,7 +119,7 @@
         disk.set_full(false);
     }
     for host in &hosts {
-        wait_until_disk_is_full(host, false).await;
+        wait_until_disk_has_space(host).await;
     }
     for (version, disk) in (10..).zip(&disks) {
         disk.set_full(true);
--- a/tests/testsuite/forwarded/hosts.rs
+++ b/tests/testsuite/forwarded/hosts.rs
@@ -236,106 +236,89 @@
         version: Version::new(version),
         body: config_document(version),
     };
-    let attempts = async {
-        loop {
-            for host in hosts {
-                let change = Change::Document(document.clone());
-                if let Ok(accepted) = host.handle.propose(None, change).await {
-                    return accepted.version.get();
-                }
+    let proposed = async || {
+        for host in hosts {
+            let change = Change::Document(document.clone());
+            if let Ok(accepted) = host.handle.propose(None, change).await {
+                return Some(accepted.version.get());
             }
-            sleep(POLL_INTERVAL).await;
         }
+        None
     };
-    timeout(HANG_GUARD, attempts)
-        .await
-        .expect("no host accepted the document")
+    poll_until("no host accepted the document", proposed).await
 }
 
 pub async fn read_document(hosts: &[&ControlHost]) -> Bytes {
-    let attempts = async {
-        loop {
-            for host in hosts {
-                if let Ok(config) = host.handle.read().await {
-                    return config.document.as_ref().unwrap().body.clone();
-                }
+    let read = async || {
+        for host in hosts {
+            if let Ok(config) = host.handle.read().await {
+                return Some(config.document.as_ref().unwrap().body.clone());
             }
-            sleep(POLL_INTERVAL).await;
         }
+        None
     };
-    timeout(HANG_GUARD, attempts)
-        .await
-        .expect("no host answered the read")
+    poll_until("no host answered the read", read).await
 }
 
-pub async fn wait_until_voter(host: &ControlHost, among: usize) {
+/// Calls `attempt` at intervals until it returns a value. Fails with `failure` if it never does.
+pub async fn poll_until<T>(failure: &str, attempt: impl AsyncFn() -> Option<T>) -> T {
     let reached = async {
-        while !host.is_voter_among(among).await {
+        loop {
+            if let Some(value) = attempt().await {
+                return value;
+            }
             sleep(POLL_INTERVAL).await;
         }
     };
-    timeout(HANG_GUARD, reached)
-        .await
-        .expect("the host did not become a voter");
+    timeout(HANG_GUARD, reached).await.expect(failure)
+}
+
+pub async fn wait_until_voter(host: &ControlHost, among: usize) {
+    let is_voter = async || host.is_voter_among(among).await.then_some(());
+    poll_until("the host did not become a voter", is_voter).await;
 }
 
 /// Waits until the voters that `host` knows of are those at `ips`.
 pub async fn wait_until_voters_are(host: &ControlHost, ips: &[Ipv4Addr]) {
     let expected: BTreeSet<_> = ips.iter().map(|ip| node_id_from_ip(*ip)).collect();
-    let reached = async {
-        loop {
-            if let Ok(status) = host.handle.status().await {
-                let voters = status.members.iter().filter(|m| m.voter);
-                if voters.map(|m| m.host.node).collect::<BTreeSet<_>>() == expected {
-                    return;
-                }
-            }
-            sleep(POLL_INTERVAL).await;
-        }
+    let are_voters = async || {
+        let status = host.handle.status().await.ok()?;
+        let voters = status.members.iter().filter(|m| m.voter);
+        let voters: BTreeSet<_> = voters.map(|m| m.host.node).collect();
+        (voters == expected).then_some(())
     };
-    timeout(HANG_GUARD, reached)
-        .await
-        .expect("the hosts did not become the voters");
+    poll_until("the hosts did not become the voters", are_voters).await;
 }
 
 /// Waits until one of the hosts lists the host at `ip` as a learner.
 pub async fn wait_until_learner(hosts: &[ControlHost], ip: Ipv4Addr) {
     let node = node_id_from_ip(ip);
-    let reached = async {
-        loop {
-            for host in hosts {
-                if let Ok(status) = host.handle.status().await
-                    && status
-                        .members
-                        .iter()
-                        .any(|m| !m.voter && m.host.node == node)
-                {
-                    return;
-                }
+    let is_learner = async || {
+        for host in hosts {
+            let Ok(status) = host.handle.status().await else {
+                continue;
+            };
+            let mut learners = status.members.iter().filter(|m| !m.voter);
+            if learners.any(|m| m.host.node == node) {
+                return Some(());
             }
-            sleep(POLL_INTERVAL).await;
         }
+        None
     };
-    timeout(HANG_GUARD, reached)
-        .await
-        .expect("the host did not become a learner");
+    poll_until("the host did not become a learner", is_learner).await;
 }
 
 /// Returns the index of the host that is the leader.
 pub async fn leader_index(hosts: &[ControlHost]) -> usize {
-    let found = async {
-        loop {
-            for (n, host) in hosts.iter().enumerate() {
-                if host.is_leader().await {
-                    return n;
-                }
+    let leader = async || {
+        for (n, host) in hosts.iter().enumerate() {
+            if host.is_leader().await {
+                return Some(n);
             }
-            sleep(POLL_INTERVAL).await;
         }
+        None
     };
-    timeout(HANG_GUARD, found)
-        .await
-        .expect("no host is the leader")
+    poll_until("no host is the leader", leader).await
 }
 
 pub fn temp_dirs<const N: usize>() -> [TempDir; N] {
