Remove a lost voter before its successor is promoted

As many control hosts as may be lost are replaced together, and a successor loses its disk, or is removed itself, right after it became a voter: every later change is refused or unanswered for good, and no host can join, though no more hosts are lost than are tolerated.

Cause: the successor was promoted first and its predecessor removed after that. In between five voters are six, and four of them are needed: all that run, the new one among them. Without it the removal can't be committed.

Change: the leader keeps the size of a majority. Of an odd number of voters a predecessor that does not respond, or whose disk was lost on the same node, is removed first. A predecessor that responds is removed last, as before.

--- a/crates/consensus/src/node/leader.rs
+++ b/crates/consensus/src/node/leader.rs
@@ -182,6 +182,15 @@
         leader.peers.get(&id).map(Progress::silent_since)
     }
 
+    /// Returns whether the member `id` responded to this leader within the election timeout.
+    pub(super) fn is_reachable(&self, now: Instant, id: MemberId) -> bool {
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        let peer = leader.peers.get(&id);
+        peer.is_some_and(|p| p.is_reachable(now, self.options.election_timeout))
+    }
+
     /// Returns whether the member `id` has not responded to this leader for so long that another host may replace it.
     pub fn is_lost(&self, now: Instant, id: MemberId) -> bool {
         let since = self.silent_since(id);
--- a/crates/consensus/src/node/membership.rs
+++ b/crates/consensus/src/node/membership.rs
@@ -106,29 +106,52 @@
         if !self.can_change_membership() {
             return;
         }
-        if let Some(next) = self.promotion(now).or_else(|| self.removal()) {
+        if let Some(next) = self.removal().or_else(|| self.promotion(now)) {
             self.change_membership(now, next);
         }
     }
 
-    /// Returns the membership with the first ready learner promoted to voter.
+    /// Returns the membership with the first ready learner promoted to voter, or without the member that this learner
+    /// replaces if that one has to be removed before.
     fn promotion(&self, now: Instant) -> Option<Membership> {
         let Role::Leader(leader) = &self.role else {
             return None;
         };
         let is_ready = |m: &&Member| {
-            leader.peers.get(&m.id).is_some_and(|peer| {
-                let is_reachable = peer.is_reachable(now, self.options.election_timeout);
-                is_reachable && peer.synced >= self.commit
-            })
+            let peer = leader.peers.get(&m.id);
+            self.is_reachable(now, m.id) && peer.is_some_and(|p| p.synced >= self.commit)
         };
-        let members = self.membership().members().iter();
+        let membership = self.membership();
+        let members = membership.members().iter();
         let mut learners = members.filter(|m| m.role == MemberRole::Learner);
+        let learner = learners.find(is_ready)?.clone();
+        if let Some(replaced) = self.removed_before(now, &learner) {
+            let settled = Member {
+                replaces: None,
+                ..learner
+            };
+            return Some(membership.without(replaced).with(settled));
+        }
         let voter = Member {
             role: MemberRole::Voter,
-            ..learners.find(is_ready)?.clone()
+            ..learner
         };
-        Some(self.membership().with(voter))
+        Some(membership.with(voter))
+    }
+
+    /// Returns the member that has to be removed before `learner`, which replaces it, becomes a voter.
+    ///
+    /// One more voter than an odd number needs a larger majority. If the voter to replace is down, the new voter may be
+    /// part of every such majority; were its disk lost before the other one is removed, no change would be committed any
+    /// more. The removal of one of an odd number of voters leaves the size of a majority as it is, and so does the
+    /// promotion after it.
+    fn removed_before(&self, now: Instant, learner: &Member) -> Option<MemberId> {
+        let membership = self.membership();
+        let replaced = membership.get(learner.replaces?)?;
+        // Two members on one node share a disk, which the later one found empty.
+        let is_down = replaced.node == learner.node || !self.is_reachable(now, replaced.id);
+        let is_odd = membership.voters().count() % 2 == 1;
+        (is_odd && is_down && replaced.id != self.id).then_some(replaced.id)
     }
 
     /// Returns the membership without the member that a promoted voter replaces. A leader does not remove
--- a/crates/consensus/tests/testsuite/main.rs
+++ b/crates/consensus/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod core_life;
 mod disk;
 mod membership;
+mod replacement_orders;
 mod schedules;
 mod simulation;
 mod store;
--- a/crates/consensus/tests/testsuite/simulation.rs
+++ b/crates/consensus/tests/testsuite/simulation.rs
@@ -250,11 +250,11 @@
     }
 
     /// Removes a host permanently; a host with another node id requests to join.
-    pub fn replace_with_new_host(&mut self, id: MemberId) {
+    pub fn replace_with_new_host(&mut self, id: MemberId) -> MemberId {
         self.crash(id, false);
         self.hosts.get_mut(&id).unwrap().lost = true;
         let node_id = NodeId::new(self.next_id);
-        self.add_empty_host(node_id);
+        self.add_empty_host(node_id)
     }
 
     /// Adds a host that requests to join while no member is lost.
