Give a host that was to replace the leader the place of a lost member

A control host that stands still or has a slow disk loses its place to a successor, returns, and becomes the leader. A lost host then stays a voter for good, though every running host is a member: four voters of whom three run, where three should be. The tolerated loss of one more disk loses the majority and what was acknowledged.

Cause: a leader does not remove itself, so that successor replaced nobody, and nobody asked for the lost place any more. If its id came first, the predecessors of other promoted voters weren't removed either.

Change: a leader that is to be replaced gives that host the place of the member that has been silent for longest, once one is lost, and logs it as a join. It skips only its own removal, not that of others. Where operators decide (no target of voters) nothing changes.

--- a/crates/consensus/src/node/membership.rs
+++ b/crates/consensus/src/node/membership.rs
@@ -76,14 +76,40 @@
             replaces: replaced,
             ..joining.clone()
         };
-        // Removes an earlier learner that replaces the same member; it never counted towards a majority.
-        let earlier = replaced.and_then(|id| membership.replacement_of(id));
-        let rest = earlier.map_or_else(|| membership.clone(), |m| membership.without(m.id));
-        let changed = rest.with(learner);
+        let changed = self.with_replacement(learner);
         self.change_membership(now, changed);
         Ok(())
     }
 
+    /// Makes `member` replace `replaced` instead of the member that it replaces now.
+    pub(crate) fn reassign(
+        &mut self,
+        now: Instant,
+        member: Member,
+        replaced: MemberId,
+    ) -> Result<(), JoinError> {
+        self.check_lease(now);
+        if !matches!(self.role, Role::Leader(_)) {
+            return Err(self.not_leader().into());
+        }
+        ensure!(self.can_change_membership(), BusySnafu);
+        let changed = self.with_replacement(Member {
+            replaces: Some(replaced),
+            ..member
+        });
+        self.change_membership(now, changed);
+        Ok(())
+    }
+
+    /// Returns the membership with `member`, and without an earlier learner that replaces the same member; that one
+    /// never counted towards a majority.
+    fn with_replacement(&self, member: Member) -> Membership {
+        let membership = self.membership();
+        let earlier = member.replaces.and_then(|id| membership.replacement_of(id));
+        let rest = earlier.map_or_else(|| membership.clone(), |m| membership.without(m.id));
+        rest.with(member)
+    }
+
     /// Returns whether `joining` may replace the member `replaced`: no other host does yet, or only a learner that is
     /// lost or whose disk was lost on the same node. A learner that responds is about to become a voter.
     pub fn is_replaceable(&self, now: Instant, replaced: MemberId, joining: &Member) -> bool {
@@ -158,18 +184,10 @@
     /// itself.
     fn removal(&self) -> Option<Membership> {
         let membership = self.membership();
-        let voters = membership
-            .members()
-            .iter()
-            .filter(|m| m.role == MemberRole::Voter);
-        let promoted = voters.clone().find_map(|m| {
-            let replaced = m.replaces?;
-            Some((m.clone(), replaced))
-        });
-        let (member, replaced) = promoted?;
-        if replaced == self.id {
-            return None;
-        }
+        let members = membership.members().iter();
+        let voters = members.filter(|m| m.role == MemberRole::Voter);
+        let mut promoted = voters.filter_map(|m| Some((m.clone(), m.replaces?)));
+        let (member, replaced) = promoted.find(|(_, replaced)| *replaced != self.id)?;
         let settled = Member {
             replaces: None,
             ..member
--- a/crates/consensus/src/vacancies.rs
+++ b/crates/consensus/src/vacancies.rs
@@ -2,13 +2,14 @@
 //!
 //! The host replaces the member with the same node id, whose disk was lost; or it becomes an additional
 //! member while there are fewer members than the target; or it replaces a member that has not responded
-//! for long. A member that another host is about to replace is not offered again. Only the leader decides,
+//! for long. A member that another host is about to replace is not offered again. A host that was to replace the
+//! member that now leads replaces another one that has not responded for long. Only the leader decides,
 //! and only from the responses that it received as the leader of its current term: a follower does not
 //! observe whether the other members respond.
 
 use std::time::Instant;
 
-use crate::member::Member;
+use crate::member::{Member, MemberId};
 use crate::node::{JoinError, Node};
 
 /// Decides which member, if any, a joining host replaces.
@@ -40,14 +41,36 @@
         if let Some(replaced) = on_same_node.map(|m| m.id) {
             return node.join(now, joining, Some(replaced));
         }
-        if settled.clone().count() < self.target_voters {
+        if settled.count() < self.target_voters {
             return node.join(now, joining, None);
         }
-        let lost = settled.filter(|m| node.is_lost(now, m.id));
-        let lost = lost.filter(|m| node.is_replaceable(now, m.id, joining));
-        // The member that has been silent for longest is the least likely to return.
-        let lost = lost.min_by_key(|m| node.silent_since(m.id)).map(|m| m.id);
-        let lost = lost.ok_or(JoinError::NoReplaceableMember)?;
+        let lost = lost_member(now, node, joining).ok_or(JoinError::NoReplaceableMember)?;
         node.join(now, joining, Some(lost))
     }
+
+    /// Gives a host that replaces this leader the place of a lost member instead. Returns the host if there is one and
+    /// its place has changed.
+    ///
+    /// The leader was silent when the host joined, but is alive, and it does not remove itself: the host replaced nobody,
+    /// and the lost member remained a voter.
+    pub fn reassign(self, now: Instant, node: &mut Node) -> Option<MemberId> {
+        // Without a target, only operators decide which member is replaced.
+        if self.target_voters == 0 {
+            return None;
+        }
+        let joining = node.membership().replacement_of(node.id())?.clone();
+        let lost = lost_member(now, node, &joining)?;
+        let id = joining.id;
+        node.reassign(now, joining, lost).ok().map(|()| id)
+    }
+}
+
+/// Returns the lost member that `joining` may replace.
+fn lost_member(now: Instant, node: &Node, joining: &Member) -> Option<MemberId> {
+    let members = node.membership().members().iter();
+    let settled = members.filter(|m| m.replaces.is_none());
+    let lost = settled.filter(|m| node.is_lost(now, m.id));
+    let lost = lost.filter(|m| node.is_replaceable(now, m.id, joining));
+    // The member that has been silent for longest is the least likely to return.
+    lost.min_by_key(|m| node.silent_since(m.id)).map(|m| m.id)
 }
--- a/crates/consensus/tests/testsuite/membership.rs
+++ b/crates/consensus/tests/testsuite/membership.rs
@@ -1,5 +1,7 @@
 //! Replacement of a host and isolation of a leader.
 
+use std::collections::BTreeSet;
+
 use dogwoodrill_consensus::{MemberId, MemberRole, RoleName};
 use insta::assert_snapshot;
 
@@ -39,6 +41,12 @@
     ids.find(|id| Some(*id) != leader).unwrap()
 }
 
+fn isolate(simulation: &mut Simulation, id: MemberId) {
+    for other in simulation.ids() {
+        simulation.cut_links.extend([(id, other), (other, id)]);
+    }
+}
+
 #[test]
 fn replacing_a_lost_host_lets_the_cluster_survive_losing_another() {
     let mut simulation = healthy_cluster(3, 1);
@@ -269,6 +277,39 @@
     ");
 }
 
+/// Guards against a host that replaces nobody because the member that it was to replace returned and became the
+/// leader; a lost host then stayed a voter, and one more loss than that was one too many.
+#[test]
+fn a_host_that_replaces_the_leader_takes_the_place_of_a_lost_member() {
+    let mut returned_leaders = 0;
+    for seed in 0..20 {
+        let mut simulation = healthy_cluster(3, seed);
+        let old_leader = simulation.leader().unwrap();
+        let returned = follower(&simulation);
+        isolate(&mut simulation, returned);
+        simulation.run(SILENT_STEPS).unwrap();
+        let joining = simulation.add_spare();
+        simulation.request_joins().unwrap();
+        simulation.cut_links.clear();
+        isolate(&mut simulation, joining);
+        simulation.run(20).unwrap();
+        simulation.crash(old_leader, false);
+        simulation.hosts.get_mut(&old_leader).unwrap().lost = true;
+        simulation.run(100).unwrap();
+        returned_leaders += u32::from(simulation.leader() == Some(returned));
+        simulation.cut_links.clear();
+        for _ in 0..200 {
+            simulation.step().unwrap();
+            simulation.request_joins().unwrap();
+        }
+        let mut running = BTreeSet::from_iter(simulation.ids());
+        running.remove(&old_leader);
+        let leader = simulation.leader().unwrap();
+        assert_eq!(simulation.reported_voters(leader), running, "seed {seed}");
+    }
+    assert!(returned_leaders > 0, "the returned host leads in no run");
+}
+
 /// A spare host also sends join requests to followers, which receive messages only from the leader and
 /// see all other members as unreachable. A follower that becomes leader must not replace a member because
 /// of that.
--- a/crates/consensus/tests/testsuite/replacement_orders.rs
+++ b/crates/consensus/tests/testsuite/replacement_orders.rs
@@ -7,6 +7,8 @@
 use std::ops::Range;
 
 use dogwoodrill_consensus::{MemberId, MemberRole};
+use rand::Rng;
+use rand::seq::IndexedRandom;
 use rstest::rstest;
 
 use crate::checker::{Checked, Violation, holds};
@@ -20,6 +22,10 @@
 /// Number of steps for which a host is down, still or slow; longer than it takes to be replaced.
 const FAULT_STEPS: u64 = 100;
 const HEALED_STEPS: u64 = 500;
+/// Largest number of faults of one replacement.
+const MAX_FAULTS: usize = 3;
+const ROUNDS: u64 = 4;
+const SEEDS: u64 = 50;
 
 /// Fault during the replacement.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -48,6 +54,20 @@
     PowerLossAfterWrite,
 }
 
+const FAULTS: [Fault; 11] = [
+    Fault::LeaderRestarts,
+    Fault::LeaderStandsStill,
+    Fault::FollowerStandsStill,
+    Fault::MessagesLost,
+    Fault::LeaderDiskSlow,
+    Fault::SuccessorDiskSlow,
+    Fault::SuccessorRestarts,
+    Fault::SuccessorWiped,
+    Fault::SuccessorReplaced,
+    Fault::PowerLoss,
+    Fault::PowerLossAfterWrite,
+];
+
 /// Number of steps before a fault, and the index of the successor that it affects if it affects one.
 type FaultAfter = (u64, Fault, usize);
 
@@ -145,6 +165,17 @@
         self.schedule_end(FAULT_STEPS, FaultEnd::Resume(id));
     }
 
+    fn random_faults(&mut self, members: u64) -> Vec<FaultAfter> {
+        let rng = &mut self.simulation.rng;
+        let count = rng.random_range(0..=MAX_FAULTS);
+        let faults = (0..count).map(|_| {
+            let fault = *FAULTS.choose(rng).unwrap();
+            let steps = rng.random_range(1..REPLACEMENT_STEPS);
+            (steps, fault, rng.random_range(affected(fault, members)))
+        });
+        faults.collect()
+    }
+
     /// Injects `fault`, which affects the successor with index `which` if it affects one.
     fn inject(&mut self, fault: Fault, which: usize) {
         let successor = self.successors[which];
@@ -276,3 +307,22 @@
     });
     run_all(members, with_leader, steps);
 }
+
+/// Hosts are replaced together several times, each time with several faults at random steps.
+#[rstest]
+fn hosts_that_are_replaced_again_and_again_become_voters(
+    #[values(3, 5)] members: u64,
+    #[values(0, 1, 2, 3)] part: u64,
+) {
+    for seed in part * SEEDS..(part + 1) * SEEDS {
+        let mut run = Run::new(members, seed);
+        for round in 0..ROUNDS {
+            let faults = run.random_faults(members);
+            let with_leader = run.simulation.percent(50);
+            run.replace_together(with_leader);
+            run.run(&faults).unwrap_or_else(|violation| {
+                panic!("seed {seed}, round {round}, leader {with_leader}, {faults:?}: {violation}")
+            });
+        }
+    }
+}
--- a/crates/consensus/tests/testsuite/simulation.rs
+++ b/crates/consensus/tests/testsuite/simulation.rs
@@ -469,6 +469,7 @@
         let node = self.hosts.get_mut(&id).unwrap().node.as_mut().unwrap();
         if now >= node.next_deadline() {
             node.on_tick(now);
+            JoinPolicy::new(self.target_voters).reassign(now, node);
             self.check_member(id)?;
         }
         let node = self.hosts.get_mut(&id).unwrap().node.as_mut().unwrap();
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -12,8 +12,8 @@
 use dogwoodrill_consensus::store::Store;
 use dogwoodrill_consensus::store::file::{ClusterId, FileError, FileStore, FolderLock, Identity};
 use dogwoodrill_consensus::{
-    self as consensus, Batch, Envelope, HardState, Member, Membership, Options, PersistedState,
-    RoleName, Snapshot,
+    self as consensus, Batch, Envelope, HardState, Member, MemberId, Membership, Options,
+    PersistedState, RoleName, Snapshot,
 };
 use dogwoodrill_core::config::CommittedConfig;
 use dogwoodrill_core::control_status::{
@@ -167,6 +167,9 @@
             let now = Instant::now();
             if now >= self.replica.next_deadline() {
                 self.replica.on_tick(now);
+                if let Some(id) = self.replica.reassign(now) {
+                    self.log_place(now, id);
+                }
             }
         }
     }
@@ -246,16 +249,18 @@
             None => self.replica.join_where_needed(now, joining)?,
         }
         if !is_known {
-            self.log_join(now, joining);
+            self.log_place(now, joining.id);
         }
         Ok(())
     }
 
-    fn log_join(&self, now: Instant, joining: &Member) {
-        let (id, address) = (joining.id, joining.address);
+    fn log_place(&self, now: Instant, id: MemberId) {
         let members = self.replica.membership();
-        let replaced = members.get(id).and_then(|m| m.replaces);
-        match replaced.and_then(|replaced| members.get(replaced)) {
+        let Some(joining) = members.get(id) else {
+            return;
+        };
+        let address = joining.address;
+        match joining.replaces.and_then(|replaced| members.get(replaced)) {
             Some(m) => log::info!(
                 "member {id} at {address} joins in place of member {} at {}, silent for {} ms",
                 m.id,
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -254,6 +254,12 @@
         self.vacancies.join(now, &mut self.node, joining)
     }
 
+    /// Gives a host that replaces this leader the place of a lost member instead; returns the host if its place has
+    /// changed.
+    pub fn reassign(&mut self, now: Instant) -> Option<MemberId> {
+        self.vacancies.reassign(now, &mut self.node)
+    }
+
     /// The time for which this leader has waited for a response of the member `id`.
     pub fn silence(&self, now: Instant, id: MemberId) -> Duration {
         let since = self.node.silent_since(id);
