Replace pairs of control hosts on loopback, with disks that take time to sync

A sync of 15 ms makes the join requests of the two successors meet between the commit of a learner and its promotion.

The test passes on this code. With the two changes that fixed the fault undone (a learner gives way to any host, and a host whose disk names a cluster does not ask again) both cases failed in two of two runs: "the hosts did not become the voters". With the first one undone alone it passes: the host that was pushed out asks again.

The search of faults between two steps waits for its first leader, which takes more than 100 steps with some seeds.

--- a/crates/consensus/tests/testsuite/replacement_orders.rs
+++ b/crates/consensus/tests/testsuite/replacement_orders.rs
@@ -92,6 +92,9 @@
         let mut simulation = Simulation::new(&voters(members), seed, Sabotage::Nothing);
         simulation.network = RELIABLE;
         simulation.run(100).unwrap();
+        while simulation.leader().is_none() {
+            simulation.step().unwrap();
+        }
         Self {
             simulation,
             step: 0,
--- a/tests/testsuite/forwarded.rs
+++ b/tests/testsuite/forwarded.rs
@@ -14,6 +14,7 @@
 
 mod disks;
 mod hosts;
+mod replacements;
 
 use hosts::*;
 
