Let a new leader hear from a member before it removes it

A new leader that heard from a learner first took the member to be replaced for down, and removed it before the learner was a voter. The disk of a live member then didn't count for some steps, and one loss less was borne.

--- a/crates/consensus/src/node/membership.rs
+++ b/crates/consensus/src/node/membership.rs
@@ -48,6 +48,16 @@
     AlreadyReplaced,
 }
 
+/// Order of the last two steps of a replacement.
+enum ReplacementOrder {
+    /// The learner becomes a voter, then the member that it replaces is removed.
+    PromoteFirst,
+    /// This member is removed, then the learner becomes a voter.
+    RemoveFirst(MemberId),
+    /// The leader does not know yet whether the member to replace is down.
+    Unknown,
+}
+
 impl Node {
     /// Adds `joining` as a learner that replaces `replaced`, or as an additional member. Returns `Ok` if the
     /// host already is a member, so the call may be repeated.
@@ -151,33 +161,55 @@
         let members = membership.members().iter();
         let mut learners = members.filter(|m| m.role == MemberRole::Learner);
         let learner = learners.find(is_ready)?.clone();
-        if let Some(replaced) = self.removed_before(now, &learner) {
-            let settled = Member {
-                replaces: None,
-                ..learner
-            };
-            return Some(membership.without(replaced).with(settled));
+        match self.order(now, &learner) {
+            ReplacementOrder::Unknown => None,
+            ReplacementOrder::RemoveFirst(replaced) => {
+                let settled = Member {
+                    replaces: None,
+                    ..learner
+                };
+                Some(membership.without(replaced).with(settled))
+            }
+            ReplacementOrder::PromoteFirst => {
+                let voter = Member {
+                    role: MemberRole::Voter,
+                    ..learner
+                };
+                Some(membership.with(voter))
+            }
         }
-        let voter = Member {
-            role: MemberRole::Voter,
-            ..learner
-        };
-        Some(membership.with(voter))
     }
 
-    /// Returns the member that has to be removed before `learner`, which replaces it, becomes a voter.
+    /// Returns whether the member that `learner` replaces is removed before or after the promotion.
     ///
     /// One more voter than an odd number needs a larger majority. If the voter to replace is down, the new voter may be
     /// part of every such majority; were its disk lost before the other one is removed, no change would be committed any
     /// more. The removal of one of an odd number of voters leaves the size of a majority as it is, and so does the
-    /// promotion after it.
-    fn removed_before(&self, now: Instant, learner: &Member) -> Option<MemberId> {
+    /// promotion after it. A voter that responds is removed last, because its disk counts until then.
+    fn order(&self, now: Instant, learner: &Member) -> ReplacementOrder {
         let membership = self.membership();
-        let replaced = membership.get(learner.replaces?)?;
+        let replaced = learner.replaces.and_then(|id| membership.get(id));
+        let Some(replaced) = replaced.filter(|m| m.id != self.id) else {
+            return ReplacementOrder::PromoteFirst;
+        };
+        if membership.voters().count().is_multiple_of(2) {
+            return ReplacementOrder::PromoteFirst;
+        }
         // Two members on one node share a disk, which the later one found empty.
-        let is_down = replaced.node == learner.node || !self.is_reachable(now, replaced.id);
-        let is_odd = membership.voters().count() % 2 == 1;
-        (is_odd && is_down && replaced.id != self.id).then_some(replaced.id)
+        if replaced.node == learner.node {
+            return ReplacementOrder::RemoveFirst(replaced.id);
+        }
+        if self.is_reachable(now, replaced.id) {
+            return ReplacementOrder::PromoteFirst;
+        }
+        // A new leader has not heard from the member yet.
+        let since = self.silent_since(replaced.id);
+        let is_down = since.is_some_and(|since| now >= since + self.options.election_timeout);
+        if is_down {
+            ReplacementOrder::RemoveFirst(replaced.id)
+        } else {
+            ReplacementOrder::Unknown
+        }
     }
 
     /// Returns the membership without the member that a promoted voter replaces. A leader does not remove
--- a/crates/consensus/tests/testsuite/membership.rs
+++ b/crates/consensus/tests/testsuite/membership.rs
@@ -310,6 +310,43 @@
     assert!(returned_leaders > 0, "the returned host leads in no run");
 }
 
+/// Guards against a new leader that removes a member before its successor is a voter, only because the member has not
+/// responded to this leader yet.
+#[test]
+fn a_new_leader_keeps_a_member_that_responds_until_its_successor_is_a_voter() {
+    for seed in 0..20 {
+        let mut simulation = healthy_cluster(5, seed);
+        let old_leader = simulation.leader().unwrap();
+        let replaced = follower(&simulation);
+        let joining = simulation.add_spare();
+        isolate(&mut simulation, joining);
+        simulation.join_as_replacement(joining, replaced);
+        simulation.run(20).unwrap();
+        simulation.crash(old_leader, true);
+        isolate(&mut simulation, replaced);
+        while simulation.leader().is_none() {
+            simulation.step().unwrap();
+        }
+        // The successor responds to the new leader at once, the member that it replaces after some steps.
+        simulation
+            .cut_links
+            .retain(|(from, to)| *from == replaced || *to == replaced);
+        simulation.run(10).unwrap();
+        simulation.cut_links.clear();
+        for _ in 0..100 {
+            simulation.step().unwrap();
+            let Some(leader) = simulation.leader() else {
+                continue;
+            };
+            let voters = simulation.reported_voters(leader).len();
+            assert!(voters >= 5, "seed {seed}: {voters} voters");
+        }
+        let leader = simulation.leader().unwrap();
+        let voters = simulation.reported_voters(leader);
+        assert!(voters.contains(&joining) && !voters.contains(&replaced));
+    }
+}
+
 /// A spare host also sends join requests to followers, which receive messages only from the leader and
 /// see all other members as unreachable. A follower that becomes leader must not replace a member because
 /// of that.
