--- a/crates/consensus/src/node/membership.rs
+++ b/crates/consensus/src/node/membership.rs
@@ -95,7 +95,7 @@
     pub(crate) fn reassign(
         &mut self,
         now: Instant,
-        member: Member,
+        member: &Member,
         replaced: MemberId,
     ) -> Result<(), JoinError> {
         self.check_lease(now);
@@ -105,7 +105,7 @@
         ensure!(self.can_change_membership(), BusySnafu);
         let changed = self.with_replacement(Member {
             replaces: Some(replaced),
-            ..member
+            ..member.clone()
         });
         self.change_membership(now, changed);
         Ok(())
--- a/crates/consensus/src/vacancies.rs
+++ b/crates/consensus/src/vacancies.rs
@@ -60,8 +60,8 @@
         }
         let joining = node.membership().replacement_of(node.id())?.clone();
         let lost = lost_member(now, node, &joining)?;
-        let id = joining.id;
-        node.reassign(now, joining, lost).ok().map(|()| id)
+        node.reassign(now, &joining, lost).ok()?;
+        Some(joining.id)
     }
 }
 
