--- a/crates/consensus/tests/testsuite/replacement_orders.rs
+++ b/crates/consensus/tests/testsuite/replacement_orders.rs
@@ -68,7 +68,7 @@
     Fault::PowerLossAfterWrite,
 ];
 
-/// Number of steps before a fault, and the index of the successor that it affects if it affects one.
+/// Number of steps from the fault before it, a fault, and the index of the successor that it affects if it affects one.
 type FaultAfter = (u64, Fault, usize);
 
 /// End of a fault.
@@ -262,17 +262,7 @@
     }
 }
 
-/// Injects each sequence of faults, and fails with the first sequence that breaks a rule.
-fn run_all(members: u64, with_leader: bool, sequences: impl IntoIterator<Item = Vec<FaultAfter>>) {
-    for (seed, faults) in (0..).zip(sequences) {
-        let mut run = Run::new(members, seed);
-        run.replace_together(with_leader);
-        run.run(&faults)
-            .unwrap_or_else(|violation| panic!("seed {seed}, {faults:?}: {violation}"));
-    }
-}
-
-/// Returns the indices of the successors that `fault` can affect.
+/// Returns the indices of the successors that `fault` can affect; of other faults, one index.
 fn affected(fault: Fault, members: u64) -> Range<usize> {
     match fault {
         Fault::SuccessorDiskSlow
@@ -304,11 +294,14 @@
     )]
     fault: Fault,
 ) {
-    let steps = (1..REPLACEMENT_STEPS).step_by(2).flat_map(|at| {
-        let affected = affected(fault, members);
-        affected.map(move |which| vec![(at, fault, which)])
-    });
-    run_all(members, with_leader, steps);
+    for at in (1..REPLACEMENT_STEPS).step_by(2) {
+        for which in affected(fault, members) {
+            let mut run = Run::new(members, at);
+            run.replace_together(with_leader);
+            run.run(&[(at, fault, which)])
+                .unwrap_or_else(|violation| panic!("step {at}, successor {which}: {violation}"));
+        }
+    }
 }
 
 /// Hosts are replaced together several times, each time with several faults at random steps.
