--- a/tests/testsuite/forwarded/disks.rs
+++ b/tests/testsuite/forwarded/disks.rs
@@ -87,7 +87,7 @@
         disk: disk.clone(),
     };
     let folder = Box::new(folder);
-    let host = start_control_host_with_folder(ip, ports, seeds, data.path(), bootstrap, folder);
+    let host = start_control_host_with_folder(ip, ports, seeds, data.path(), bootstrap, folder, 1);
     (host.await, disk)
 }
 
--- a/tests/testsuite/forwarded/hosts.rs
+++ b/tests/testsuite/forwarded/hosts.rs
@@ -126,22 +126,10 @@
     bootstrap: bool,
 ) -> ControlHost {
     let folder = Box::new(OsFolder::open(data).unwrap());
-    start_control_host_with_folder(ip, ports, seeds, data, bootstrap, folder).await
-}
-
-/// Starts a host of a cluster that tolerates the loss of two hosts, with its disk in `folder`.
-pub async fn start_host_of_five(
-    ip: Ipv4Addr,
-    ports: Ports,
-    seeds: &[Ipv4Addr],
-    data: &Path,
-    bootstrap: bool,
-    folder: DataFolder,
-) -> ControlHost {
-    let host_settings = control_host_settings(ip, data, bootstrap, 2);
-    start_with_settings(ports, seeds, ip, folder, host_settings).await
+    start_control_host_with_folder(ip, ports, seeds, data, bootstrap, folder, 1).await
 }
 
+/// Starts a host whose data folder is `folder`, of a cluster that tolerates the loss of `tolerated_losses` hosts.
 pub async fn start_control_host_with_folder(
     ip: Ipv4Addr,
     ports: Ports,
@@ -149,33 +137,15 @@
     data: &Path,
     bootstrap: bool,
     folder: DataFolder,
-) -> ControlHost {
-    let host_settings = control_host_settings(ip, data, bootstrap, 1);
-    start_with_settings(ports, seeds, ip, folder, host_settings).await
-}
-
-fn control_host_settings(
-    ip: Ipv4Addr,
-    data: &Path,
-    bootstrap: bool,
     tolerated_losses: usize,
-) -> ControlHostSettings {
-    ControlHostSettings {
+) -> ControlHost {
+    let host_settings = ControlHostSettings {
         operators: SocketAddrV4::new(ip, 0),
         data_dir: data.to_owned(),
         bootstrap,
         tolerated_losses,
         catch_up: CATCH_UP,
-    }
-}
-
-async fn start_with_settings(
-    ports: Ports,
-    seeds: &[Ipv4Addr],
-    ip: Ipv4Addr,
-    folder: DataFolder,
-    host_settings: ControlHostSettings,
-) -> ControlHost {
+    };
     let role = RoleSettings::Control(host_settings.clone());
     let settings = settings(ip, ports, seeds, role);
     let journal = Journal::start("test");
--- a/tests/testsuite/forwarded/replacements.rs
+++ b/tests/testsuite/forwarded/replacements.rs
@@ -71,7 +71,7 @@
     bootstrap: bool,
 ) -> ControlHost {
     let folder = Box::new(SlowFolder(OsFolder::open(data).unwrap()));
-    start_host_of_five(ip, ports, seeds, data, bootstrap, folder).await
+    start_control_host_with_folder(ip, ports, seeds, data, bootstrap, folder, 2).await
 }
 
 /// A cluster of five hosts with their disks, by address.
