--- a/crates/core/src/forwarded.rs
+++ b/crates/core/src/forwarded.rs
@@ -13,12 +13,16 @@
 //! accepts to the flow's keepers. If no keeper knows a flow, a search that queries all agents ([`inquiry`])
 //! finds its holder or proves that there is none. [`mesh`] holds a node's view of the other nodes, which it learns
 //! from their [`report`]s and from the lists of control hosts ([`node_list`]); [`work_time`] the service time of a
-//! server; [`service_map`] the configuration in force; and [`packet`] the packet header that the decisions use.
+//! server, [`flow_demand`] the requests that its open flows bring, and [`capacity_shares`] what requests of each
+//! priority take of it. Agents with an idle server take openings that wait at others ([`slot_offers`]).
+//! [`service_map`] holds the configuration in force, and [`packet`] the packet header that the decisions use.
 
 pub mod agent;
 pub mod balancer;
+pub mod capacity_shares;
 mod confirmation;
 pub mod decision;
+pub mod flow_demand;
 pub mod gate;
 pub mod inquiry;
 pub mod keepers;
@@ -32,5 +36,6 @@
 pub mod report;
 pub mod server;
 pub mod service_map;
+pub mod slot_offers;
 pub mod waiting;
 pub mod work_time;
--- a/crates/core/src/forwarded/agent.rs
+++ b/crates/core/src/forwarded/agent.rs
@@ -25,6 +25,7 @@
 use rand::rngs::StdRng;
 
 use super::decision::Decision;
+use super::flow_demand::FlowDemand;
 use super::gate::ColdBudget;
 use super::inquiry::FlowSearches;
 use super::keepers::FlowDirectory;
@@ -34,6 +35,7 @@
 use super::report::ServerReport;
 use super::server::Server;
 use super::service_map::ServiceMap;
+use super::slot_offers::{SlotOfferStats, SlotOffers};
 use super::waiting::AdmissionQueue;
 use super::work_time::{PeerWorkTimes, WorkTime};
 
@@ -43,11 +45,13 @@
 mod location;
 mod openings;
 mod requests;
+mod running;
 mod search;
 mod server_packets;
 
 pub use action::{Action, Disposition};
 use flow::{BouncedFlow, Flow, IDLE_TTL, OPENING_TTL, RequestState};
+use running::RunningRequests;
 
 /// Time after which a request no longer counts as running, even if the server has not answered it.
 const WORK_TIMEOUT: Duration = Duration::from_secs(5);
@@ -82,14 +86,18 @@
     cold_budget: ColdBudget,
     /// Flows at the server.
     flows: HashMap<FlowKey, Flow>,
+    /// Number of open flows without a request at the last tick.
+    idle_flows: u32,
     /// Requests at the server or on their way to it.
     busy: u32,
     /// Those of the `busy` requests that have reached the server.
-    running: u32,
+    running: RunningRequests,
     /// Service time of the server.
     work: WorkTime,
+    flow_demand: FlowDemand,
     outlier: OutlierDetector,
     queue: AdmissionQueue,
+    offers: SlotOffers,
     /// Redirections of recent opening packets.
     redirects: HashMap<FlowKey, Redirect>,
     directory: FlowDirectory,
@@ -138,11 +146,14 @@
             server: Server::new(now, report_interval),
             cold_budget: ColdBudget::default(),
             flows: HashMap::new(),
+            idle_flows: 0,
             busy: 0,
-            running: 0,
+            running: RunningRequests::default(),
             work: WorkTime::default(),
+            flow_demand: FlowDemand::default(),
             outlier: OutlierDetector::default(),
             queue: AdmissionQueue::default(),
+            offers: SlotOffers::default(),
             redirects: HashMap::new(),
             directory: FlowDirectory::default(),
             searches: FlowSearches::default(),
@@ -212,6 +223,16 @@
         self.busy
     }
 
+    /// Number of opening packets in the admission queue.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the numbers of slots offered to and by peers.
+    pub const fn slot_offer_stats(&self) -> SlotOfferStats {
+        self.offers.stats()
+    }
+
     /// Returns and clears the actions collected since the last call.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
@@ -240,8 +261,11 @@
             is_accepting: is_accepting && !self.is_stopping,
             is_cold,
             busy: self.total_requests(),
+            waiting: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            stalled: self.stalled_requests(now),
             work: self.work.expected(is_cold),
-            flows: u32::try_from(self.flows.len()).unwrap_or(u32::MAX),
+            flows: self.idle_flows,
+            flow_request_rate: self.flow_demand.rate(),
             slots: statement.slots,
             responses: self.outlier.stats(),
         })
@@ -257,6 +281,9 @@
     ) -> Disposition {
         if header.flags.is_opening() {
             self.on_opening(now, from, header, packet)
+        } else if header.flags.is_ending() && self.queue.remove(header.caller_flow()).is_some() {
+            // The caller has given up before its flow was opened.
+            Disposition::Drop
         } else {
             self.on_non_opening(now, from, header, packet)
         }
@@ -287,16 +314,7 @@
             if !flow.request_state.is_running() {
                 flow.request = Some(Bytes::copy_from_slice(packet));
             }
-            let until = now + WORK_TIMEOUT;
-            let concurrent = self.running + 1;
-            self.set_request_state(
-                key,
-                RequestState::Running {
-                    since: now,
-                    concurrent,
-                    until,
-                },
-            );
+            self.on_request(now, key);
         } else if header.flags.is_ending() {
             self.end(now, key);
             self.admit(now);
@@ -305,19 +323,23 @@
         Disposition::Deliver
     }
 
-    fn remove(&mut self, key: FlowKey) -> Option<Flow> {
+    fn remove(&mut self, now: Instant, key: FlowKey) -> Option<Flow> {
         let flow = self.flows.remove(&key)?;
         self.busy -= u32::from(flow.request_state.is_pending());
-        self.running -= u32::from(flow.request_state.is_running());
+        self.running.remove(now, key, self.slots());
         Some(flow)
     }
 
     /// Advances the agent's timers. To be called at regular intervals.
     pub fn on_tick(&mut self, now: Instant) {
         self.queries_left = MAX_QUERIES_PER_TICK;
+        let idle = self.flows.values().filter(|f| f.is_open_and_idle());
+        self.idle_flows = u32::try_from(idle.count()).unwrap_or(u32::MAX);
+        self.flow_demand.on_tick(now, self.idle_flows);
         self.offer_unanswered_openings(now);
         self.expire_request_deadlines(now);
         self.admit(now);
+        self.offer_idle_slots(now);
         self.process_deferred(now);
         self.announce_to_new_keepers();
         if self.leave_deadline.is_some_and(|at| at <= now) {
@@ -344,12 +366,12 @@
         self.redirects.retain(|_, r| now < r.until);
         let expired = self.flows.iter().filter(|(_, f)| f.forget_at <= now);
         for key in expired.map(|(key, _)| *key).collect::<Vec<_>>() {
-            self.remove(key);
+            self.remove(now, key);
         }
         let overdue = self.flows.iter();
         let overdue = overdue.filter(|(_, f)| f.request_state.is_overdue(now));
         for key in overdue.map(|(key, _)| *key).collect::<Vec<_>>() {
-            self.set_request_state(key, RequestState::Idle);
+            self.set_request_state(now, key, RequestState::Idle);
         }
     }
 
--- a/crates/core/src/forwarded/agent/action.rs
+++ b/crates/core/src/forwarded/agent/action.rs
@@ -68,6 +68,11 @@
         /// The negative reply.
         denial: Denial,
     },
+    /// Offer an idle slot of the server to an agent.
+    OfferSlot {
+        /// Address of the agent.
+        to: Ipv4Addr,
+    },
     /// Check whether a process listens at the server's port.
     CheckPort,
 }
--- a/crates/core/src/forwarded/agent/flow.rs
+++ b/crates/core/src/forwarded/agent/flow.rs
@@ -19,13 +19,8 @@
 pub(super) enum RequestState {
     /// A request is expected until this time.
     Expected { until: Instant },
-    /// The server processes a request.
-    Running {
-        since: Instant,
-        /// Requests that the server processed when this one arrived, itself included.
-        concurrent: u32,
-        until: Instant,
-    },
+    /// The request has reached the server.
+    Running { since: Instant, until: Instant },
     /// There is no request.
     Idle,
 }
@@ -69,6 +64,8 @@
     pub(super) caller_ack: u32,
     pub(super) caller_ended: bool,
     pub(super) server_ended: bool,
+    /// Number of requests on the flow that the server has answered.
+    pub(super) answers: u32,
     /// The flow's keepers when its location was last sent to them.
     pub(super) keepers: Keepers,
     /// The agent that searches for the flow, until the server has shown that it holds the flow.
@@ -90,6 +87,11 @@
         self.is_open && self.server_seq.is_none()
     }
 
+    /// Whether the flow may bring further requests and has none now.
+    pub(super) const fn is_open_and_idle(&self) -> bool {
+        self.is_open && !self.caller_ended && !self.server_ended && !self.request_state.is_pending()
+    }
+
     /// Creates a flow that is assumed to be open, though the agent did not see it open. `ack` is the caller's
     /// acknowledgement number and `next` the next sequence number that it will send.
     pub(super) const fn assumed_open(
@@ -112,6 +114,7 @@
             caller_ack: ack,
             caller_ended: false,
             server_ended: false,
+            answers: 0,
             keepers: Keepers {
                 first: None,
                 second: None,
--- a/crates/core/src/forwarded/agent/life.rs
+++ b/crates/core/src/forwarded/agent/life.rs
@@ -74,7 +74,7 @@
         let mut ended: Vec<_> = ended.map(|(flow, _)| *flow).collect();
         ended.sort_unstable();
         for key in ended {
-            let Some(flow) = self.remove(key) else {
+            let Some(flow) = self.remove(now, key) else {
                 continue;
             };
             match flow.searched_by {
--- a/crates/core/src/forwarded/agent/openings.rs
+++ b/crates/core/src/forwarded/agent/openings.rs
@@ -9,10 +9,10 @@
 use crate::forwarded::decision::{Decision, Reason, Step};
 use crate::forwarded::gate::{self, Capacity};
 use crate::forwarded::packet::{FlowKey, Header, Purpose, Trail};
-use crate::forwarded::placement::{self, Candidate, ProbePolicy};
+use crate::forwarded::placement::{self, Candidate, LoadEstimator, ProbePolicy};
 use crate::forwarded::report::ReceivedReport;
 use crate::forwarded::service_map::ServiceLabel;
-use crate::forwarded::waiting::{QueuedOpening, max_queue_time};
+use crate::forwarded::waiting::{QueuedOpening, RESPONSE_OVERHEAD, ServerLoad, max_queue_time};
 
 /// Most redirections of an opening packet between agents.
 const MAX_HOPS: u8 = 3;
@@ -21,9 +21,15 @@
 /// Time for which the redirection of a flow is remembered: as long as callers send copies of an opening
 /// packet.
 const REDIRECT_TTL: Duration = Duration::from_secs(3);
-/// By how much a peer must complete earlier to receive an opening packet. Covers the hop to it and changes
-/// since its last report.
-const REDIRECT_MARGIN: Duration = Duration::from_millis(8);
+/// Most redirections of an opening packet that cannot be on time at an agent. A second agent that cannot serve it in
+/// time either shows that the service has no capacity left.
+const MAX_OVERDUE_HOPS: u8 = 1;
+/// Openings that a server can receive while its slots are in use: opening a flow takes about half as long as a
+/// request, so that the slot is free when the request arrives.
+const OPENINGS_AHEAD: u32 = 1;
+
+/// Factor by which a peer must be faster, its load included, to receive an opening packet that this server can take.
+const MIN_SPEEDUP: u32 = 2;
 
 /// The peers to which an opening packet may be redirected.
 #[derive(Clone, Copy, Debug)]
@@ -32,19 +38,20 @@
     Any,
     /// Peers whose servers are not suspended.
     NotSuspended,
+    /// Peers whose servers are not suspended and had an idle slot at their last report.
+    ReportedIdle,
     /// Peers whose servers are not suspended and would complete the request within this time.
     CompletesWithin(Duration),
 }
 
 impl PeerFilter {
-    fn accepts(self, received: &ReceivedReport) -> bool {
+    fn accepts(self, load: LoadEstimator, received: &ReceivedReport) -> bool {
         let is_not_suspended = !received.report.responses.is_suspended;
         match self {
             Self::Any => true,
             Self::NotSuspended => is_not_suspended,
-            Self::CompletesWithin(limit) => {
-                is_not_suspended && placement::expected_completion(received) < limit
-            }
+            Self::ReportedIdle => is_not_suspended && load.had_idle_slot(received),
+            Self::CompletesWithin(limit) => is_not_suspended && load.completion(received) < limit,
         }
     }
 }
@@ -91,14 +98,22 @@
         {
             return self.redirect_to(now, to, header, Reason::Suspended);
         }
-        let max_completion = self.completion(now).saturating_sub(REDIRECT_MARGIN);
-        match self.choose_peer(now, from, key, PeerFilter::CompletesWithin(max_completion)) {
-            Some(to) if can_redirect => self.redirect_to(now, to, header, Reason::Busy),
-            _ if self.queue.is_empty() && self.has_capacity(now, key) => {
-                self.accept(now, header, packet)
-            }
-            _ => self.enqueue(now, header, packet),
+        if self.queue.is_empty() && self.busy < self.slots() {
+            self.record_share(now, key);
+            return self.accept(now, header, packet);
+        }
+        let faster = self.faster_peers();
+        if can_redirect && let Some(to) = self.choose_peer(now, from, key, faster) {
+            return self.redirect_to(now, to, header, Reason::Busy);
         }
+        if self.queue.is_empty() && self.has_capacity(now, key) && self.is_in_time(now, header) {
+            self.record_share(now, key);
+            return self.accept(now, header, packet);
+        }
+        if can_redirect && let Some(to) = self.take_slot_offer(now, from, key) {
+            return self.redirect_to(now, to, header, Reason::SlotOffered);
+        }
+        self.enqueue(now, from, header, packet)
     }
 
     /// Whether the server is suspended and no probe is due.
@@ -111,9 +126,14 @@
         self.work.time(self.server.is_cold(now))
     }
 
-    /// Expected completion time at this server of a request that arrives now.
-    fn completion(&self, now: Instant) -> Duration {
-        placement::completion(self.work_time(now), self.total_requests(), self.slots())
+    /// Returns the state of the server that decides how long queued packets wait.
+    pub(super) fn server_load(&self, now: Instant) -> ServerLoad {
+        ServerLoad {
+            now,
+            work: self.work_time(now),
+            busy: self.busy,
+            slots: self.slots(),
+        }
     }
 
     /// Largest queue length at which the server completes all requests within `longest`.
@@ -148,15 +168,52 @@
         capacity == Capacity::Available
     }
 
-    fn enqueue(&mut self, now: Instant, header: &Header, packet: &[u8]) -> Disposition {
+    /// Queues an opening packet. Packets that cannot be on time behind others are redirected to a peer that can
+    /// complete them in time, or wait for spare capacity. Those that would wait in vain are refused at once.
+    /// Returns the peers that should get an opening packet although this server can take it. Once the service time is
+    /// measured, offers of idle slots even out the load, and only a slow server needs more: reports are older than a
+    /// request takes, and redirecting by them would lengthen the path of most openings and gain nothing.
+    fn faster_peers(&self) -> PeerFilter {
+        match self.work.measured() {
+            Some(work) => PeerFilter::CompletesWithin(work / MIN_SPEEDUP),
+            None => PeerFilter::ReportedIdle,
+        }
+    }
+
+    /// Whether a request that is delivered to the server now would be answered on time.
+    fn is_in_time(&self, now: Instant, header: &Header) -> bool {
+        let route = self.map.route(header.target);
+        route.is_some_and(|r| {
+            let left = r
+                .policy
+                .target
+                .saturating_sub(header.time_since_first_copy());
+            self.completion_if_admitted(now) + RESPONSE_OVERHEAD <= left
+        })
+    }
+
+    fn enqueue(
+        &mut self,
+        now: Instant,
+        from: Ipv4Addr,
+        header: &Header,
+        packet: &[u8],
+    ) -> Disposition {
         let key = header.caller_flow();
         let Some(policy) = self.map.route(key.service).map(|r| r.policy) else {
             return self.refuse(now, header, Reason::OtherService);
         };
         self.queue.push(now, header, packet, policy);
+        let load = self.server_load(now);
+        for w in self.queue.take_overdue(load, key) {
+            self.redirect_overdue(now, from, w);
+        }
+        for w in self.queue.take_unservable(load) {
+            self.refuse_queued(now, &w, Reason::Busy);
+        }
         let most = self.max_queue_len(now, max_queue_time(policy));
         for w in self.queue.trim(now, self.completion_if_admitted(now), most) {
-            self.refuse(now, &w.header, Reason::Busy);
+            self.refuse_queued(now, &w, Reason::Busy);
         }
         if !self.queue.contains(key) {
             return Disposition::Drop;
@@ -169,13 +226,115 @@
         Disposition::Drop
     }
 
+    /// Redirects a packet that cannot be on time here to a peer that is expected to complete it in time, or lets it
+    /// wait for spare capacity.
+    fn redirect_overdue(&mut self, now: Instant, from: Ipv4Addr, w: QueuedOpening) {
+        let limit = w.time_to_complete(now).saturating_sub(self.work_time(now));
+        let may_redirect = w.header.trail.hops < MAX_OVERDUE_HOPS;
+        let filter = PeerFilter::CompletesWithin(limit);
+        let flow = w.header.caller_flow();
+        let peer = may_redirect.then(|| self.choose_peer(now, from, flow, filter));
+        match peer.flatten() {
+            Some(to) => self.forward_queued(now, to, &w, Reason::Busy),
+            None => self.queue.push_overdue(w),
+        }
+    }
+
+    /// Sends a packet that was taken from the queue to a peer.
+    fn forward_queued(&mut self, now: Instant, to: Ipv4Addr, w: &QueuedOpening, why: Reason) {
+        let disposition = self.redirect_to(now, to, &w.header, why);
+        if let Disposition::Forward { to, trail } = disposition {
+            let packet = w.packet.clone();
+            self.actions.push(Action::Forward { to, trail, packet });
+        }
+    }
+
+    /// Offers idle slots of the server to peers at which opening packets wait.
+    pub(super) fn offer_idle_slots(&mut self, now: Instant) {
+        let taken = self.busy.saturating_add(self.offers.outstanding(now));
+        let idle = (self.slots() + OPENINGS_AHEAD).saturating_sub(taken);
+        if idle == 0 || !self.queue.is_empty() || !self.can_take_openings(now) {
+            return;
+        }
+        let Some(service) = self.server.statement().map(|s| s.service.clone()) else {
+            return;
+        };
+        let work = self.work_time(now);
+        for _ in 0..idle {
+            let peers = self.mesh.reachable_agents(now, &service);
+            let waiting = |r: &ReceivedReport| r.report.waiting.saturating_sub(r.offered_since);
+            let Some((to, received)) = peers.max_by_key(|(_, received)| waiting(received)) else {
+                return;
+            };
+            if waiting(received) == 0 {
+                return;
+            }
+            self.mesh.on_offered(to);
+            self.offers.on_sent(now, work);
+            self.actions.push(Action::OfferSlot { to });
+        }
+    }
+
+    /// Whether opening packets of peers may come to the server: it is not slow, failing, leaving or about to be
+    /// without its zone.
+    fn can_take_openings(&self, now: Instant) -> bool {
+        let statement = self.server.statement();
+        !self.is_stopping
+            && self.server.unavailability(now).is_none()
+            && !self.server.is_cold(now)
+            && !self.outlier.is_suspended()
+            && statement.is_some_and(|s| self.map.is_zone_enabled(&s.zone))
+    }
+
+    /// Handles an offer of `from` to take an opening packet.
+    pub fn on_slot_offer(&mut self, now: Instant, from: Ipv4Addr) {
+        let next = self.queue.next(now, self.completion_if_admitted(now));
+        let Some(next) = next.filter(|_| self.mesh.is_live(now, from)) else {
+            let work = self.work_time(now);
+            self.offers.keep(now, from, work);
+            return;
+        };
+        if !self.may_redirect_to(now, from, next.flow) {
+            return;
+        }
+        if let Some(w) = self.queue.remove(next.flow) {
+            self.offers.on_used();
+            self.forward_queued(now, from, &w, Reason::SlotOffered);
+        }
+    }
+
+    /// Takes an offer of a peer for a packet that came from `from`.
+    fn take_slot_offer(&mut self, now: Instant, from: Ipv4Addr, key: FlowKey) -> Option<Ipv4Addr> {
+        let peers = self.offers.valid(now).filter(|ip| *ip != from);
+        let mut usable = peers.filter(|ip| self.may_redirect_to(now, *ip, key));
+        let to = usable.next()?;
+        drop(usable);
+        self.offers.use_offer(to);
+        Some(to)
+    }
+
+    /// Whether the opening packet of a flow may be redirected to the agent at `ip`, by its last report.
+    fn may_redirect_to(&self, now: Instant, ip: Ipv4Addr, key: FlowKey) -> bool {
+        let report = self.mesh.get(ip).and_then(|peer| peer.report.as_ref());
+        let hops = self.queue.hops(key).unwrap_or_default();
+        hops < MAX_HOPS
+            && self.mesh.is_live(now, ip)
+            && report.is_some_and(|received| {
+                let report = &received.report;
+                let route = self.map.route(key.service);
+                report.is_accepting
+                    && route.is_some_and(|r| r.allows(&report.service))
+                    && self.map.is_zone_enabled(&report.zone)
+            })
+    }
+
     /// Delivers queued opening packets to the server while it has capacity.
     pub(super) fn admit(&mut self, now: Instant) {
         if self.queue.is_empty() {
             return;
         }
         for w in self.queue.take_expired(now) {
-            self.refuse(now, &w.header, Reason::Busy);
+            self.refuse_queued(now, &w, Reason::Busy);
         }
         let is_rejecting = self.server.unavailability(now).is_some() || self.is_stopping;
         while let Some(next) = self.queue.next(now, self.completion_if_admitted(now)) {
@@ -197,6 +356,9 @@
             {
                 self.redirect_queued(now, &w, reason);
             } else {
+                if !next.is_late {
+                    self.record_share(now, key);
+                }
                 self.accept(now, &w.header, &w.packet);
                 self.actions.push(Action::Deliver(w.packet));
             }
@@ -265,10 +427,25 @@
 
     /// Refuses an opening packet and resets the flow, so that the caller can retry or give up at once.
     fn refuse(&mut self, now: Instant, header: &Header, reason: Reason) -> Disposition {
+        self.refuse_after(now, header, reason, None)
+    }
+
+    fn refuse_queued(&mut self, now: Instant, w: &QueuedOpening, reason: Reason) {
+        self.refuse_after(now, &w.header, reason, Some(w.waited(now)));
+    }
+
+    fn refuse_after(
+        &mut self,
+        now: Instant,
+        header: &Header,
+        reason: Reason,
+        waited: Option<Duration>,
+    ) -> Disposition {
         let key = header.caller_flow();
         self.record_decision(Decision {
             reason: Some(reason),
             age: self.server.age(now),
+            waited,
             busy: Some(self.busy),
             hops: header.trail.hops,
             ..Decision::new(Step::Refused, key, self.map.index)
@@ -303,17 +480,19 @@
         let candidates = self.mesh.reachable_agents(now, &service);
         let candidates = candidates
             .filter(|(ip, received)| *ip != from && map.is_zone_enabled(&received.report.zone));
-        let candidates = candidates.filter(|(_, received)| filter.accepts(received));
+        let load = self.mesh.load_estimator(now);
+        let candidates = candidates.filter(|(_, received)| filter.accepts(load, received));
         let chosen = match &zone {
             Some(zone) => placement::choose_agent(
                 &mut self.rng,
+                load,
                 candidates,
                 zone,
                 ProbePolicy::OnlyIfAllSuspended,
             )?,
             None => candidates
                 .map(Candidate::from)
-                .min_by_key(|c| placement::expected_completion(c.received))?,
+                .min_by_key(|c| load.completion(c.received))?,
         };
         Some(chosen.agent)
     }
@@ -353,7 +532,8 @@
             .get(&key)
             .is_some_and(|r| header.ack > r.copy);
         let may_follow = is_later_copy && header.trail.hops < MAX_HOPS;
-        self.active_redirect(now, key).filter(|_| may_follow)
+        let to = self.active_redirect(now, key).filter(|_| may_follow)?;
+        self.mesh.is_reliable(now, to).then_some(to)
     }
 
     const fn forward_opening(to: Ipv4Addr, trail: Trail) -> Disposition {
@@ -379,7 +559,7 @@
             };
             self.server.on_unanswered(now);
             let trail = self.flows[&key].trail;
-            self.set_request_state(key, RequestState::Idle);
+            self.set_request_state(now, key, RequestState::Idle);
             self.record_decision(Decision {
                 age: self.server.age(now),
                 busy: Some(self.busy),
--- a/crates/core/src/forwarded/agent/requests.rs
+++ b/crates/core/src/forwarded/agent/requests.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::{Agent, RequestState};
+use super::{Agent, RequestState, WORK_TIMEOUT};
 use crate::forwarded::packet::FlowKey;
 
 /// Time for which a flow is remembered after both ends have closed it, to handle retransmitted packets.
@@ -11,18 +11,43 @@
 impl Agent {
     /// Handles the first bytes of a response: the server has completed the request.
     pub(super) fn on_answer(&mut self, now: Instant, key: FlowKey, bytes: u16) {
-        let work = self.flows.get(&key).map(|f| f.request_state);
-        if let Some(RequestState::Running {
-            since, concurrent, ..
-        }) = work
-        {
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        flow.answers = flow.answers.saturating_add(1);
+        if let RequestState::Running { since, .. } = flow.request_state {
             let took = now.saturating_duration_since(since);
+            let processed = self.running.remove(now, key, self.slots());
             // Failed requests are left out of the mean service time, because they complete too quickly.
-            if self.outlier.on_answer(now, took, bytes) {
-                self.work.record(took, concurrent, self.slots());
+            let is_success = self.outlier.on_answer(now, took, bytes);
+            if let Some(processed) = processed.filter(|_| is_success) {
+                self.work.record(processed);
             }
         }
-        self.set_request_state(key, RequestState::Idle);
+        self.set_request_state(now, key, RequestState::Idle);
+    }
+
+    /// Handles the first packet of a request, which is delivered to the server.
+    pub(super) fn on_request(&mut self, now: Instant, key: FlowKey) {
+        if self.flows.get(&key).is_some_and(|f| f.answers > 0) {
+            self.flow_demand.on_request();
+            self.record_share(now, key);
+        }
+        let (since, until) = (now, now + WORK_TIMEOUT);
+        self.set_request_state(now, key, RequestState::Running { since, until });
+    }
+
+    /// Records that a request takes capacity of the server that others with its priority cannot use.
+    pub(super) fn record_share(&mut self, now: Instant, key: FlowKey) {
+        let load = self.server_load(now);
+        if let Some(route) = self.map.route(key.service) {
+            self.queue.record_share(load, route.policy.priority);
+        }
+    }
+
+    /// Number of requests that occupy a slot of the server for far longer than the service time.
+    pub(super) fn stalled_requests(&self, now: Instant) -> u32 {
+        self.running.stalled(now, self.work_time(now))
     }
 
     /// Handles a reset of a flow that the server had not ended. If a request was running, the reset counts as
@@ -42,7 +67,12 @@
         }
     }
 
-    pub(super) fn set_request_state(&mut self, key: FlowKey, request_state: RequestState) {
+    pub(super) fn set_request_state(
+        &mut self,
+        now: Instant,
+        key: FlowKey,
+        request_state: RequestState,
+    ) {
         let Some(flow) = self.flows.get_mut(&key) else {
             return;
         };
@@ -52,13 +82,16 @@
         }
         self.busy =
             self.busy + u32::from(request_state.is_pending()) - u32::from(before.is_pending());
-        let left = u32::from(before.is_running());
-        self.running = self.running + u32::from(request_state.is_running()) - left;
+        match (before.is_running(), request_state.is_running()) {
+            (false, true) => self.running.add(now, key, self.slots()),
+            (true, false) => drop(self.running.remove(now, key, self.slots())),
+            _ => {}
+        }
     }
 
     /// Handles the end of a flow by one side or both.
     pub(super) fn end(&mut self, now: Instant, key: FlowKey) {
-        self.set_request_state(key, RequestState::Idle);
+        self.set_request_state(now, key, RequestState::Idle);
         if let Some(flow) = self.flows.get_mut(&key)
             && flow.caller_ended
             && flow.server_ended
@@ -74,7 +107,7 @@
             self.request_deadlines.pop_front();
             let flow = self.flows.get(&key);
             if flow.is_some_and(|f| f.request_state.is_overdue(now)) {
-                self.set_request_state(key, RequestState::Idle);
+                self.set_request_state(now, key, RequestState::Idle);
             }
         }
     }
--- a/crates/core/src/forwarded/agent/server_packets.rs
+++ b/crates/core/src/forwarded/agent/server_packets.rs
@@ -58,6 +58,7 @@
             self.end(now, key);
         }
         self.admit(now);
+        self.offer_idle_slots(now);
         Disposition::Return
     }
 
@@ -65,7 +66,7 @@
     /// flow that it does not hold.
     fn on_bounced(&mut self, now: Instant, header: &Header) -> Disposition {
         let key = header.caller_flow();
-        let removed = self.remove(key);
+        let removed = self.remove(now, key);
         self.record_decision(Decision {
             busy: Some(self.busy),
             ..Decision::new(Step::Bounced, key, self.map.index)
@@ -100,7 +101,7 @@
     /// the caller.
     fn on_foreign_reset(&mut self, now: Instant, key: FlowKey) -> Disposition {
         self.record_bounced(now, key);
-        if let Some(searcher) = self.remove(key).and_then(|f| f.searched_by) {
+        if let Some(searcher) = self.remove(now, key).and_then(|f| f.searched_by) {
             self.deny(now, searcher, key);
         }
         self.record_decision(Decision::new(Step::Bounced, key, self.map.index));
--- a/crates/core/src/forwarded/balancer.rs
+++ b/crates/core/src/forwarded/balancer.rs
@@ -24,9 +24,6 @@
 
 /// Time between two drops of the older half of the cache; longer than a flow may be idle.
 const CACHE_HALF_TTL: Duration = Duration::from_secs(20);
-/// Heartbeat intervals without a packet from an agent after which a copy of an opening packet goes to another
-/// agent. One heartbeat may have been lost.
-const DOUBTFUL_HEARTBEATS: u32 = 2;
 
 /// What is done with a packet.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -148,11 +145,7 @@
             _ => None,
         };
         if let Some(to) = previous {
-            let doubtful_after = self.mesh.heartbeat_interval() * DOUBTFUL_HEARTBEATS;
-            let received = self.mesh.last_seen_age(now, to);
-            let is_fresh = received.is_some_and(|age| age < doubtful_after);
-            let is_reliable = is_fresh && !self.mesh.is_losing_openings(now, to);
-            if !is_copy || is_reliable {
+            if !is_copy || self.mesh.is_reliable(now, to) {
                 return self.forward(to, Purpose::Placed);
             }
         }
@@ -179,17 +172,29 @@
         };
         let reachable = self.mesh.reachable_agents(now, &service);
         let reachable = reachable.filter(|(ip, received)| is_eligible(*ip, received));
-        let chosen =
-            placement::choose_agent(&mut self.rng, reachable, zone, ProbePolicy::Occasional);
+        let load = self.mesh.load_estimator(now);
+        let chosen = placement::choose_agent(
+            &mut self.rng,
+            load,
+            reachable,
+            zone,
+            ProbePolicy::Occasional,
+        );
         // If no agent seems reachable, the fault may be in this node's own network.
         let chosen = chosen.or_else(|| {
             let candidates = self.mesh.available_agents(now, &service);
             let candidates = candidates.filter(|(ip, received)| is_eligible(*ip, received));
-            placement::choose_agent(&mut self.rng, candidates, zone, ProbePolicy::Occasional)
+            placement::choose_agent(
+                &mut self.rng,
+                load,
+                candidates,
+                zone,
+                ProbePolicy::Occasional,
+            )
         });
         let decision = Decision {
             node: chosen.map(|c| c.agent),
-            busy: chosen.map(|c| c.received.expected_busy()),
+            busy: chosen.map(|c| load.busy(c.received)),
             age: chosen.map(|c| now.saturating_duration_since(c.received.received_at)),
             service: Some(service.clone()),
             ..Decision::new(Step::Placed, key, index)
--- a/crates/core/src/forwarded/decision.rs
+++ b/crates/core/src/forwarded/decision.rs
@@ -89,6 +89,9 @@
     /// The server has as many requests as it can complete in time.
     #[display("server busy")]
     Busy,
+    /// A peer with an idle server has offered to take an opening.
+    #[display("slot offered")]
+    SlotOffered,
 }
 
 /// A decision and its inputs.
@@ -112,6 +115,8 @@
     pub work: Option<Duration>,
     /// Age of the server's last report.
     pub age: Option<Duration>,
+    /// Time for which the opening packet waited in the agent's queue, if it did.
+    pub waited: Option<Duration>,
     /// Number of times that the packet was forwarded between agents before.
     pub hops: u8,
 }
@@ -129,6 +134,7 @@
             busy: None,
             work: None,
             age: None,
+            waited: None,
             hops: 0,
         }
     }
--- a/crates/core/src/forwarded/mesh.rs
+++ b/crates/core/src/forwarded/mesh.rs
@@ -16,6 +16,7 @@
 use super::keepers::KeeperRing;
 use super::node::{NodeAddress, NodeRole};
 use super::node_list::{NodeListHash, ReceivedNodeLists};
+use super::placement::LoadEstimator;
 use super::report::{BootId, Heartbeat, ReceivedReport, ServerPresence, ServerReport};
 use super::service_map::ServiceLabel;
 use crate::ids::LogIndex;
@@ -31,6 +32,9 @@
 const HEARTBEAT_INTERVAL_PER_NODE: Duration = Duration::from_millis(4);
 /// Heartbeats that a node may miss before it counts as failed. A single lost datagram must not suffice.
 const MAX_MISSED_HEARTBEATS: u32 = 3;
+/// Heartbeat intervals without a packet from an agent after which a copy of an opening packet goes to another
+/// agent. One heartbeat may have been lost.
+const DOUBTFUL_HEARTBEATS: u32 = 2;
 /// Time after the first heartbeat of a node in which it need not have received a packet from this one.
 const FIRST_CONTACT_WINDOW: Duration = Duration::from_secs(2);
 /// Interval between heartbeats to a control host during the first seconds, until one replies. Hosts that
@@ -93,6 +97,8 @@
     control_answered_at: Option<Instant>,
     /// When an agent last appeared or restarted.
     newest_agent_at: Option<Instant>,
+    /// Number of nodes that place openings.
+    placing_nodes: u32,
 }
 
 /// What a heartbeat changed in the state of its sender.
@@ -117,6 +123,7 @@
             is_left_out: false,
             control_answered_at: None,
             newest_agent_at: None,
+            placing_nodes: 1,
         }
     }
 
@@ -220,6 +227,7 @@
             report,
             received_at: now,
             sent_since: 0,
+            offered_since: 0,
         });
         known.server_presence = heartbeat.server_presence;
         known.is_reported_without_earlier_flows = false;
@@ -286,9 +294,22 @@
                 .map_or(known.listed_at, |at| at.max(known.listed_at));
             now < last + FORGET_AFTER
         });
+        self.count_placing_nodes();
         self.update_ring(now);
     }
 
+    fn count_placing_nodes(&mut self) {
+        let own = usize::from(self.own.role == NodeRole::Balancer);
+        let others = self.nodes.values().filter(|k| k.role == NodeRole::Balancer);
+        let all = (others.count() + own).max(1);
+        self.placing_nodes = u32::try_from(all).unwrap_or(u32::MAX);
+    }
+
+    /// Returns an estimator of the current load of servers from their last reports.
+    pub const fn load_estimator(&self, now: Instant) -> LoadEstimator {
+        LoadEstimator::new(now, self.placing_nodes)
+    }
+
     fn update_ring(&mut self, now: Instant) {
         let mut agents: Vec<_> = self
             .live(now, NodeRole::Agent)
@@ -415,6 +436,16 @@
         known.is_some_and(|k| k.openings.is_losing(now, interval))
     }
 
+    /// Whether a copy of an opening packet may follow the first one to the agent at `ip`. If not, the first one was
+    /// probably lost there.
+    pub fn is_reliable(&self, now: Instant, ip: Ipv4Addr) -> bool {
+        let doubtful_after = self.heartbeat_interval() * DOUBTFUL_HEARTBEATS;
+        let is_fresh = self
+            .last_seen_age(now, ip)
+            .is_some_and(|age| age < doubtful_after);
+        is_fresh && !self.is_losing_openings(now, ip)
+    }
+
     /// Returns the agents for which [`Self::is_losing_openings`] has changed since the last call, with the
     /// new value.
     pub fn take_path_changes(&mut self, now: Instant) -> Vec<(Ipv4Addr, bool)> {
@@ -438,6 +469,14 @@
         }
     }
 
+    /// Notes that a slot was offered to the agent at `ip`.
+    pub fn on_offered(&mut self, ip: Ipv4Addr) {
+        let known = self.nodes.get_mut(&ip);
+        if let Some(report) = known.and_then(|k| k.report.as_mut()) {
+            report.offered_since += 1;
+        }
+    }
+
     /// Notes that a packet arrived from the node at `ip`, which shows that the node is live.
     pub fn on_packet_from(&mut self, now: Instant, ip: Ipv4Addr) {
         let known = self.nodes.get_mut(&ip);
--- a/crates/core/src/forwarded/placement.rs
+++ b/crates/core/src/forwarded/placement.rs
@@ -1,8 +1,9 @@
 //! Chooses the backend server of a new flow.
 //!
-//! The choice is the better of two random candidates, by expected completion time. Reports are some tens of
-//! milliseconds old, so balancers that all chose the best server would overload it between two reports. Flows
-//! that this node has sent since a report are added to it.
+//! The choice is the better of two random candidates, by expected completion time. Reports are older than a server
+//! needs for a request, and all balancers choose by the same ones, so balancers that took them literally would
+//! overload servers in turns. A [`LoadEstimator`] therefore deducts what a server has probably completed since its
+//! report, and assumes that the other balancers have sent it as many flows since as this one.
 //!
 //! Servers in the node's own zone come first as long as one of two candidates there has an idle slot: a
 //! server in another zone could not start sooner, and its flows would be lost in a partition between the
@@ -12,18 +13,20 @@
 //! agent measures. So a server that becomes slow automatically gets fewer flows.
 
 use std::net::Ipv4Addr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::Rng;
 use rand::seq::IteratorRandom;
 
-use super::report::ReceivedReport;
+use super::report::{FlowRequestRate, ReceivedReport, ServerReport};
 use super::work_time;
 use crate::ids::AvailabilityZone;
 
-/// Number of flows without a running request that count as one request. An open flow sends about one request
-/// per second, each with a service time of about 15 ms.
-const FLOWS_PER_REQUEST: u32 = 50;
+/// Rate of requests on open flows of a server whose agent has not measured it, or is of an earlier version and does
+/// not report it.
+const DEFAULT_FLOW_REQUEST_RATE: f64 = 1.0;
+/// Largest share of a server's capacity that the requests of its open flows count for.
+const MAX_FLOW_SHARE: f64 = 0.95;
 
 /// One in this many flows that drew a suspended server goes to it. Its agent uses the flows that it needs as
 /// probes and redirects the others, so a larger share would only cause extra hops.
@@ -50,12 +53,72 @@
     work.saturating_add(work.saturating_mul(busy) / slots.max(1))
 }
 
-/// Expected completion time of a request at a server, according to its last report.
-pub fn expected_completion(received: &ReceivedReport) -> Duration {
-    let report = &received.report;
-    let work = work_time::or_default(report.work, report.is_cold);
-    let idle_flows = work.saturating_mul(report.flows) / FLOWS_PER_REQUEST / report.slots.max(1);
-    completion(work, received.expected_busy(), report.slots).saturating_add(idle_flows)
+/// Estimates the load of servers at one moment from the last reports of their agents.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadEstimator {
+    now: Instant,
+    placing_nodes: u32,
+}
+
+impl LoadEstimator {
+    /// Creates an estimator for one of `placing_nodes` nodes that place openings.
+    pub const fn new(now: Instant, placing_nodes: u32) -> Self {
+        Self { now, placing_nodes }
+    }
+
+    /// Expected number of requests at the server or queued at its agent.
+    pub fn busy(&self, received: &ReceivedReport) -> u32 {
+        let report = &received.report;
+        let age = self.now.saturating_duration_since(received.received_at);
+        // Requests that a server does not complete are still there, and the slots that they occupy are not used.
+        let stalled = report.stalled.min(report.busy);
+        let slots = report.slots.max(1).saturating_sub(stalled);
+        let completed = report.work.map_or(0, |work| {
+            age.as_micros() * u128::from(slots) / work.as_micros().max(1)
+        });
+        let completed = u32::try_from(completed).unwrap_or(u32::MAX);
+        let sent = received.sent_since.saturating_mul(self.placing_nodes);
+        (report.busy - stalled)
+            .saturating_sub(completed)
+            .saturating_add(stalled)
+            .saturating_add(sent)
+    }
+
+    /// Expected completion time of a request at the server.
+    pub fn completion(&self, received: &ReceivedReport) -> Duration {
+        let report = &received.report;
+        let work = work_time::or_default(report.work, report.is_cold);
+        let completion = completion(work, self.busy(received), report.slots);
+        let left = 1.0 - flow_share(work, &received.report);
+        Duration::try_from_secs_f64(completion.as_secs_f64() / left).unwrap_or(Duration::MAX)
+    }
+
+    /// Whether a request sent now is expected to be processed at once.
+    fn has_idle_slot(&self, received: &ReceivedReport) -> bool {
+        self.busy(received) < received.report.slots
+    }
+
+    /// Whether the last report showed an idle slot that this node has not used since.
+    pub(super) fn had_idle_slot(&self, received: &ReceivedReport) -> bool {
+        let sent = received.sent_since.saturating_mul(self.placing_nodes);
+        received.report.busy.saturating_add(sent) < received.report.slots
+    }
+
+    fn earliest_completion<'a>(&self, drawn: Vec<Candidate<'a>>) -> Option<Candidate<'a>> {
+        drawn
+            .into_iter()
+            .min_by_key(|c| self.completion(c.received))
+    }
+}
+
+/// Share of a server's capacity that the requests of its open flows are expected to take.
+fn flow_share(work: Duration, report: &ServerReport) -> f64 {
+    let rate = report
+        .flow_request_rate
+        .map_or(DEFAULT_FLOW_REQUEST_RATE, FlowRequestRate::per_second);
+    let requests = f64::from(report.flows) * rate;
+    let share = requests * work.as_secs_f64() / f64::from(report.slots.max(1));
+    share.min(MAX_FLOW_SHARE)
 }
 
 /// Whether suspended servers get flows as probes.
@@ -70,6 +133,7 @@
 /// Chooses an agent for a node in `zone` from the agents' last reports.
 pub fn choose_agent<'a, R: Rng>(
     rng: &mut R,
+    load: LoadEstimator,
     candidates: impl Iterator<Item = (Ipv4Addr, &'a ReceivedReport)> + Clone,
     zone: &AvailabilityZone,
     probe_policy: ProbePolicy,
@@ -88,24 +152,13 @@
     let local = not_suspended
         .clone()
         .filter(|c| c.received.report.zone == *zone);
-    let local = earliest_completion(local.choose_multiple(rng, 2));
-    if local.is_some_and(|c| has_idle_slot(c.received)) {
+    let local = load.earliest_completion(local.choose_multiple(rng, 2));
+    if local.is_some_and(|c| load.has_idle_slot(c.received)) {
         return local;
     }
     if suspended.is_none() {
-        return earliest_completion(drawn);
+        return load.earliest_completion(drawn);
     }
-    earliest_completion(not_suspended.choose_multiple(rng, 2))
-        .or_else(|| earliest_completion(drawn))
-}
-
-fn earliest_completion(drawn: Vec<Candidate<'_>>) -> Option<Candidate<'_>> {
-    drawn
-        .into_iter()
-        .min_by_key(|c| expected_completion(c.received))
-}
-
-/// Whether a request sent now is expected to be processed at once.
-const fn has_idle_slot(received: &ReceivedReport) -> bool {
-    received.expected_busy() < received.report.slots
+    load.earliest_completion(not_suspended.choose_multiple(rng, 2))
+        .or_else(|| load.earliest_completion(drawn))
 }
--- a/crates/core/src/forwarded/report.rs
+++ b/crates/core/src/forwarded/report.rs
@@ -59,8 +59,14 @@
     /// Expected service time of a request: measured, or until then that of the service's other servers; `None`
     /// if neither is known.
     pub work: Option<Duration>,
-    /// Number of flows at the server.
+    /// Number of those requests that wait in the agent's queue.
+    pub waiting: u32,
+    /// Number of requests that occupy a slot for far longer than the service time.
+    pub stalled: u32,
+    /// Number of open flows without a request.
     pub flows: u32,
+    /// Rate of requests on these flows; `None` if not measured.
+    pub flow_request_rate: Option<FlowRequestRate>,
     /// Number of requests that the server processes concurrently.
     pub slots: u32,
     /// Statistics of the server's responses, for outlier detection.
@@ -76,12 +82,31 @@
     pub received_at: Instant,
     /// Number of opening packets sent to the agent since.
     pub sent_since: u32,
+    /// Number of slots offered to the agent since.
+    pub offered_since: u32,
 }
 
-impl ReceivedReport {
-    /// Returns the number of requests at the server, with those sent to it since the report.
-    pub const fn expected_busy(&self) -> u32 {
-        self.report.busy.saturating_add(self.sent_since)
+/// Rate of requests on open flows, in requests a second on 1,000 flows.
+#[derive(
+    Clone, Copy, Debug, Default, Display, Eq, From, FromStr, Into, Ord, PartialEq, PartialOrd,
+)]
+#[display("{_0}‰/s")]
+pub struct FlowRequestRate(u32);
+
+impl FlowRequestRate {
+    /// Rounds a rate in requests a second on one flow.
+    pub(super) fn from_per_second(rate: f64) -> Self {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "limited to the range of `u32`"
+        )]
+        Self((rate * 1000.0).clamp(0.0, u32::MAX.into()).round() as u32)
+    }
+
+    /// Returns the rate in requests a second on one flow.
+    pub(super) fn per_second(self) -> f64 {
+        f64::from(self.0) / 1000.0
     }
 }
 
--- a/crates/core/src/forwarded/work_time.rs
+++ b/crates/core/src/forwarded/work_time.rs
@@ -13,13 +13,18 @@
 const DEFAULT_WORK: Duration = Duration::from_millis(15);
 /// Factor by which the service time of a server that has just started is longer.
 const COLD_FACTOR: f64 = 1.6;
-/// Weight of a new measurement in the moving average; about the last ten requests count.
+/// Number of requests that the moving average covers. Over ten, the mean of requests whose deviation is half of
+/// their mean was off by 11%, and the servers that seemed the fastest got the most flows.
+const MEASURED_REQUESTS: u32 = 32;
+/// Weight of a new measurement in the moving averages of outlier detection; about the last ten requests count.
 pub(super) const NEWEST_SHARE: f64 = 0.1;
 
 /// Service time of a server, as its agent measures or expects it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct WorkTime {
     mean: Option<Duration>,
+    /// Number of measurements, up to [`MEASURED_REQUESTS`].
+    measurements: u32,
     peers: PeerWorkTimes,
 }
 
@@ -33,15 +38,12 @@
 }
 
 impl WorkTime {
-    /// Adds a measurement to the mean. `running` is the number of requests, this one included, that were at
-    /// the server when it arrived. If that exceeds `slots`, the measurement is ignored, because it may
-    /// include time in a queue.
-    pub fn record(&mut self, newest: Duration, running: u32, slots: u32) {
-        if running > slots {
-            return;
-        }
+    /// Adds the time for which a request occupied a slot to the mean.
+    pub fn record(&mut self, newest: Duration) {
+        self.measurements = (self.measurements + 1).min(MEASURED_REQUESTS);
+        let newest_share = f64::from(self.measurements).recip();
         self.mean = Some(self.mean.map_or(newest, |mean| {
-            mean.mul_f64(1.0 - NEWEST_SHARE) + newest.mul_f64(NEWEST_SHARE)
+            mean.mul_f64(1.0 - newest_share) + newest.mul_f64(newest_share)
         }));
     }
 
--- a/crates/core/tests/testsuite/forwarded.rs
+++ b/crates/core/tests/testsuite/forwarded.rs
@@ -1,5 +1,7 @@
 //! Forwarded flows: placement, admission, keepers, and simulated fleets under faults.
 
+mod contention;
+mod even_load;
 mod faults;
 mod gate;
 mod keepers;
--- a/crates/core/tests/testsuite/forwarded/outlier.rs
+++ b/crates/core/tests/testsuite/forwarded/outlier.rs
@@ -20,7 +20,10 @@
         is_cold: false,
         busy: 0,
         work: Some(Duration::from_millis(work_ms)),
+        waiting: 0,
+        stalled: 0,
         flows: 0,
+        flow_request_rate: None,
         slots: 2,
         responses: ResponseStats {
             mean_bytes: Some(bytes.into()),
--- a/crates/wire/src/convert/forwarded.rs
+++ b/crates/wire/src/convert/forwarded.rs
@@ -35,6 +35,8 @@
     pub node_list_hash: Option<NodeListHash>,
     /// Agents known to the sender that reported that no flow from before their start is open at their server.
     pub agents_without_earlier_flows: Vec<Ipv4Addr>,
+    /// Number of opening packets waiting at the receiver that the sender's idle server can take now.
+    pub idle_slots: u32,
     /// Negative replies to flow searches of the receiver: flows that are not at the sender.
     pub denials: Vec<Denial>,
 }
@@ -46,6 +48,7 @@
             flow_locations: Vec::new(),
             nodes: Vec::new(),
             node_list_hash: None,
+            idle_slots: 0,
             agents_without_earlier_flows: Vec::new(),
             denials: Vec::new(),
         }
@@ -69,6 +72,7 @@
             vacant: heartbeat.server_presence.has_no_server,
             young: heartbeat.server_presence.is_recently_started,
             node_list_hash: d.node_list_hash.map(Into::into),
+            idle_slots: d.idle_slots,
         }
     }
 }
@@ -101,6 +105,7 @@
                 .collect(),
             nodes: node_addresses(nodes),
             node_list_hash: d.node_list_hash.map(Into::into),
+            idle_slots: d.idle_slots,
             denials: denials.collect::<Result<_, _>>()?,
         })
     }
@@ -172,6 +177,9 @@
             answer_bytes: r.responses.mean_bytes.map(|bytes| u16::from(bytes).into()),
             failed_permille: u16::from(r.responses.failure_rate).into(),
             suspended: r.responses.is_suspended,
+            waiting: r.waiting,
+            flow_request_rate: r.flow_request_rate.map(Into::into),
+            stalled: r.stalled,
         }
     }
 }
@@ -190,7 +198,10 @@
             is_accepting: r.open,
             is_cold: r.cold,
             busy: r.busy,
+            waiting: r.waiting,
+            stalled: r.stalled,
             flows: r.flows,
+            flow_request_rate: r.flow_request_rate.map(Into::into),
             slots: r.slots,
             work: r.work_us.map(|us| Duration::from_micros(us.into())),
             responses: ResponseStats {
--- a/crates/wire/tests/testsuite/forwarded.rs
+++ b/crates/wire/tests/testsuite/forwarded.rs
@@ -41,7 +41,10 @@
         is_cold: true,
         busy: 3,
         work,
+        waiting: 0,
+        stalled: 0,
         flows: 40,
+        flow_request_rate: None,
         slots: 2,
         responses: ResponseStats {
             mean_bytes: work.map(|_| 1200.into()),
--- a/src/forwarded/agent.rs
+++ b/src/forwarded/agent.rs
@@ -40,6 +40,8 @@
 const LOAD_REPORT_INTERVAL_PER_NODE: Duration = Duration::from_millis(2);
 /// Timeout of a connection to the server's port. The server is on the same host, so no network is involved.
 const PORT_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Offered slots of one datagram that are used; bounds the work for a malformed one.
+const MAX_IDLE_SLOTS_PER_DATAGRAM: u32 = 16;
 /// Messages from the server that may wait in the channel.
 const SERVER_MESSAGE_CAPACITY: usize = 16;
 
@@ -297,6 +299,8 @@
         self.node_io.log_path_changes(now, self.agent.mesh_mut());
         let decisions = self.agent.take_decisions();
         self.node_io.record_decisions(decisions, self.agent.flows());
+        let offers = self.agent.slot_offer_stats();
+        self.node_io.metrics.set_queue(self.agent.waiting(), offers);
         self.stop_at.is_some_and(|at| at <= now)
     }
 
@@ -366,6 +370,7 @@
     }
 
     fn run_actions(&mut self) {
+        let mut offered_slots = BTreeMap::new();
         for action in self.agent.take_actions() {
             match action {
                 Action::Forward { to, trail, packet } => {
@@ -400,6 +405,7 @@
                     };
                     self.node_io.datagrams.send(to, &datagram);
                 }
+                Action::OfferSlot { to } => *offered_slots.entry(to).or_insert(0) += 1,
                 Action::CheckPort => {
                     let (server, tx) = (self.server, self.handle.tx.clone());
                     let checked_at = Instant::now();
@@ -412,6 +418,18 @@
                 }
             }
         }
+        for (to, idle_slots) in offered_slots {
+            self.offer_slots(to, idle_slots);
+        }
+    }
+
+    fn offer_slots(&mut self, to: Ipv4Addr, idle_slots: u32) {
+        let heartbeat = self.build_heartbeat_for(to, self.agent.map().index.get());
+        let datagram = Datagram {
+            idle_slots,
+            ..Datagram::from(heartbeat)
+        };
+        self.node_io.datagrams.send(to, &datagram);
     }
 
     fn send_to_caller(&mut self, caller: Ipv4Addr, packet: &[u8]) {
@@ -430,6 +448,9 @@
             self.agent
                 .on_flow_locations(now, from, flow_updates.locations);
             self.agent.on_denials(from, flow_updates.denials);
+            for _ in 0..flow_updates.idle_slots.min(MAX_IDLE_SLOTS_PER_DATAGRAM) {
+                self.agent.on_slot_offer(now, from);
+            }
         }
         self.run_actions();
     }
--- a/src/forwarded/journal.rs
+++ b/src/forwarded/journal.rs
@@ -7,6 +7,7 @@
 use std::io::Write;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread;
+use std::time::Duration;
 
 use dogwoodrill_core::forwarded::decision::Decision;
 use dogwoodrill_core::forwarded::mesh::PeerChange;
@@ -95,6 +96,8 @@
     work_us: Option<u64>,
     #[serde(skip_serializing_if = "Option::is_none")]
     age_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    waited_ms: Option<u64>,
     #[serde(skip_serializing_if = "is_zero")]
     hops: u8,
 }
@@ -107,6 +110,10 @@
     *hops == 0
 }
 
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl From<Decision> for DecisionLine {
     fn from(d: Decision) -> Self {
         Self {
@@ -120,9 +127,8 @@
             work_us: d
                 .work
                 .map(|w| u64::try_from(w.as_micros()).unwrap_or(u64::MAX)),
-            age_ms: d
-                .age
-                .map(|a| u64::try_from(a.as_millis()).unwrap_or(u64::MAX)),
+            age_ms: d.age.map(millis),
+            waited_ms: d.waited.map(millis),
             hops: d.hops,
         }
     }
--- a/src/forwarded/link.rs
+++ b/src/forwarded/link.rs
@@ -34,6 +34,8 @@
 pub(super) struct FlowUpdates {
     pub(super) locations: Vec<FlowLocation>,
     pub(super) denials: Vec<Denial>,
+    /// Number of idle slots that the sender offers.
+    pub(super) idle_slots: u32,
 }
 
 impl NodeIo {
@@ -75,6 +77,7 @@
         FlowUpdates {
             locations: datagram.flow_locations,
             denials: datagram.denials,
+            idle_slots: datagram.idle_slots,
         }
     }
 
--- a/src/forwarded/metrics.rs
+++ b/src/forwarded/metrics.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use dogwoodrill_core::forwarded::decision::Decision;
+use dogwoodrill_core::forwarded::slot_offers::SlotOfferStats;
 use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 /// Upper bounds of the histogram buckets for the time that packets wait in this process, in seconds.
@@ -48,6 +49,8 @@
     pub config_index: IntGauge,
     decisions: IntCounterVec,
     turn_seconds: Histogram,
+    waiting: IntGauge,
+    slot_offers: IntCounterVec,
 }
 
 impl ForwardMetrics {
@@ -58,6 +61,10 @@
             "dogwoodrill_forwarded_decisions_total",
             "Decisions about packets, by what was done and why.",
         );
+        let slot_offers = Opts::new(
+            "dogwoodrill_forwarded_slot_offers_total",
+            "Idle slots offered to and by other agents.",
+        );
         let turn = HistogramOpts::new(
             "dogwoodrill_forwarded_turn_seconds",
             "Time to take in what had come, which packets behind it waited.",
@@ -80,6 +87,13 @@
             decisions: IntCounterVec::new(decisions, &["step", "why"])
                 .expect("constant names are valid"),
             turn_seconds: Histogram::with_opts(turn).expect("a constant name is valid"),
+            waiting: IntGauge::new(
+                "dogwoodrill_forwarded_waiting",
+                "Opening packets in the admission queue.",
+            )
+            .expect("a constant name is valid"),
+            slot_offers: IntCounterVec::new(slot_offers, &["result"])
+                .expect("constant names are valid"),
         };
         metrics.register_all(registry);
         metrics
@@ -88,13 +102,15 @@
     /// Registers all metrics. Errors are ignored: a second node in the same process has metrics that are not
     /// exported.
     fn register_all(&self, registry: &Registry) {
-        let all: [Box<dyn prometheus::core::Collector>; 6] = [
+        let all: [Box<dyn prometheus::core::Collector>; 8] = [
             Box::new(self.packets.clone()),
             Box::new(self.bad_packets.clone()),
             Box::new(self.flows.clone()),
             Box::new(self.config_index.clone()),
             Box::new(self.decisions.clone()),
             Box::new(self.turn_seconds.clone()),
+            Box::new(self.waiting.clone()),
+            Box::new(self.slot_offers.clone()),
         ];
         for collector in all {
             drop(registry.register(collector));
@@ -115,6 +131,19 @@
         }
     }
 
+    /// Sets the length of the admission queue and the numbers of offered slots.
+    pub fn set_queue(&self, waiting: usize, offers: SlotOfferStats) {
+        self.waiting.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+        for (result, count) in [
+            ("sent", offers.sent),
+            ("used", offers.used),
+            ("expired", offers.expired),
+        ] {
+            let counter = self.slot_offers.with_label_values(&[result]);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+    }
+
     /// Records the time to process one batch of packets; later packets waited for that long.
     pub fn observe_turn(&self, took: Duration) {
         self.turn_seconds.observe(took.as_secs_f64());
