--- a/crates/core/src/forwarded/balancer.rs
+++ b/crates/core/src/forwarded/balancer.rs
@@ -144,10 +144,10 @@
             Some(CachedLocation::Agent(to)) => Some(to),
             _ => None,
         };
-        if let Some(to) = previous {
-            if !is_copy || self.mesh.is_reliable(now, to) {
-                return self.forward(to, Purpose::Placed);
-            }
+        if let Some(to) = previous
+            && (!is_copy || self.mesh.is_reliable(now, to))
+        {
+            return self.forward(to, Purpose::Placed);
         }
         self.place(now, key, previous)
     }
