Test shares of capacity, slot offers and flow demand

Cause: these state machines were tested only through replays of a whole deployment, which do not show which rule fails.

Change: a module of tests for each, without a network, with bounds from the specification.

--- a/crates/core/tests/testsuite/forwarded.rs
+++ b/crates/core/tests/testsuite/forwarded.rs
@@ -1,8 +1,10 @@
 //! Forwarded flows: placement, admission, keepers, and simulated fleets under faults.
 
+mod capacity_shares;
 mod contention;
 mod even_load;
 mod faults;
+mod flow_demand;
 mod gate;
 mod keepers;
 mod load;
@@ -12,6 +14,7 @@
 mod placing;
 mod replay;
 mod servers;
+mod slot_offers;
 mod waiting;
 mod work_time;
 mod world;
