Test which openings are overdue or cannot be served

Change: tables for the margin of the newest, displacement, the share of more urgent requests, spare capacity and extreme loads.

--- a/crates/core/tests/testsuite/forwarded/waiting.rs
+++ b/crates/core/tests/testsuite/forwarded/waiting.rs
@@ -5,7 +5,9 @@
 
 use dogwoodrill_core::forwarded::packet::{Flags, Header, Purpose, Trail};
 use dogwoodrill_core::forwarded::service_map::RequestPolicy;
-use dogwoodrill_core::forwarded::waiting::{AdmissionQueue, max_queue_time};
+use dogwoodrill_core::forwarded::waiting::{
+    AdmissionQueue, QueuedOpening, ServerLoad, max_queue_time,
+};
 use rstest::rstest;
 
 use super::world::{ORDERS_ADDRESS, TERMS};
@@ -157,3 +159,228 @@
     let removed: Vec<_> = removed.iter().map(|w| w.header.source.port()).collect();
     assert_eq!(removed, expected);
 }
+
+/// Requests that take 40 ms and must be answered within 300 ms. One request at a server of two slots takes 20 ms of
+/// the time of those behind it.
+const CUSTODY: RequestPolicy = RequestPolicy {
+    target: Duration::from_millis(300),
+    timeout: Duration::from_millis(1500),
+    priority: 1,
+};
+
+fn custody(priority: u32) -> RequestPolicy {
+    RequestPolicy {
+        priority,
+        ..CUSTODY
+    }
+}
+
+fn custody_load(now: Instant, busy: u32) -> ServerLoad {
+    ServerLoad {
+        now,
+        work: 40 * MS,
+        busy,
+        slots: 2,
+    }
+}
+
+fn ports(openings: &[QueuedOpening]) -> Vec<u16> {
+    openings.iter().map(|w| w.header.source.port()).collect()
+}
+
+/// Adds one packet for each priority, 1 ms apart from `start` on; the ports count from 1.
+fn queue_of(start: Instant, priorities: &[u32]) -> AdmissionQueue {
+    let mut queue = AdmissionQueue::default();
+    for (priority, n) in priorities.iter().zip(1..) {
+        queue.push(
+            start + u32::from(n) * MS,
+            &opening(n),
+            b"",
+            custody(*priority),
+        );
+    }
+    queue
+}
+
+/// Guards against an opening that is queued although it becomes late behind the requests before it, and against one
+/// that is turned away although it would be on time. Only the newest needs a margin of one service time: it would
+/// otherwise displace one that was accepted, whose caller has waited.
+#[rstest]
+#[case::newest_with_margin(8, 1, &[])]
+#[case::newest_without_margin(11, 1, &[1])]
+#[case::accepted_without_margin(11, 99, &[])]
+#[case::accepted_but_late(14, 99, &[1])]
+#[case::idle_server(0, 1, &[])]
+fn an_opening_is_queued_only_if_it_can_be_on_time(
+    #[case] busy: u32,
+    #[case] newest: u16,
+    #[case] expected: &[u16],
+) {
+    let start = Instant::now();
+    let mut queue = queue_of(start, &[1]);
+    let newest = opening(newest).caller_flow();
+    let overdue = queue.take_overdue(custody_load(start + MS, busy), newest);
+    assert_eq!(ports(&overdue), expected);
+    assert_eq!(queue.len(), 1 - expected.len());
+}
+
+/// Guards against an arrival that displaces more openings than it has to, or those before the last in rank. Of the four
+/// that wait, each leaves less than one further place behind it.
+#[rstest]
+#[case::urgent(0, &[4])]
+#[case::same_priority(1, &[5])]
+#[case::less_urgent(2, &[5])]
+fn an_arrival_displaces_the_last_in_rank_only(#[case] priority: u32, #[case] expected: &[u16]) {
+    let start = Instant::now();
+    let mut queue = queue_of(start, &[1, 1, 1, 1]);
+    let now = start + 20 * MS;
+    let load = custody_load(now, 8);
+    let nobody = opening(99).caller_flow();
+    assert!(queue.take_overdue(load, nobody).is_empty());
+    queue.push(now, &opening(5), b"", custody(priority));
+    let overdue = queue.take_overdue(load, opening(5).caller_flow());
+    assert_eq!(ports(&overdue), expected);
+    assert_eq!(queue.len(), 4);
+    assert!(queue.take_overdue(load, nobody).is_empty());
+}
+
+/// Guards against openings that are accepted during a burst of more urgent requests and then overtaken until they are
+/// late, and against urgent ones that are turned away because of less urgent ones. The recorded requests take half of
+/// the capacity.
+#[rstest]
+#[case::behind_urgent_ones(0, 1, 0, &[1])]
+#[case::among_the_urgent(0, 0, 0, &[])]
+#[case::before_less_urgent_ones(2, 1, 0, &[])]
+#[case::after_the_burst(0, 1, 3, &[])]
+fn more_urgent_requests_take_their_share(
+    #[case] recorded: u32,
+    #[case] priority: u32,
+    #[case] secs_later: u64,
+    #[case] expected: &[u16],
+) {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(secs_later);
+    let mut queue = AdmissionQueue::default();
+    for _ in 0..25 {
+        queue.record_share(custody_load(start, 6), recorded);
+    }
+    queue.push(now, &opening(1), b"", custody(priority));
+    let overdue = queue.take_overdue(custody_load(now, 6), opening(1).caller_flow());
+    assert_eq!(ports(&overdue), expected);
+}
+
+/// Guards against a less urgent service that gets nothing at an idle server after a burst of urgent requests.
+#[test]
+fn an_idle_server_takes_a_less_urgent_opening_after_a_burst() {
+    let now = Instant::now();
+    let mut queue = AdmissionQueue::default();
+    for _ in 0..500 {
+        queue.record_share(custody_load(now, 2), 0);
+    }
+    queue.push(now, &opening(1), b"", custody(5));
+    let overdue = queue.take_overdue(custody_load(now, 0), opening(1).caller_flow());
+    assert_eq!(ports(&overdue), []);
+}
+
+/// Guards against an opening that was found overdue, waits for spare capacity, and is then started before others that
+/// can be on time, or is redirected once more with each further arrival.
+#[test]
+fn an_overdue_opening_waits_behind_those_on_time() {
+    let start = Instant::now();
+    let mut queue = queue_of(start, &[0, 2]);
+    let now = start + 2 * MS;
+    let overdue = queue.remove(opening(1).caller_flow()).unwrap();
+    queue.push_overdue(overdue);
+    let full = custody_load(now, 20);
+    let newest = opening(2).caller_flow();
+    assert_eq!(ports(&queue.take_overdue(full, newest)), [2]);
+    queue.push(now, &opening(3), b"", custody(2));
+    let next = queue.next(now, 40 * MS).unwrap();
+    assert_eq!((next.flow, next.is_late), (opening(3).caller_flow(), false));
+    assert!(queue.remove(next.flow).is_some());
+    let next = queue.next(now, 40 * MS).unwrap();
+    assert_eq!((next.flow, next.is_late), (opening(1).caller_flow(), true));
+}
+
+/// Late packets, 1 ms apart, of which each has a little over 200 ms left until it is refused.
+fn late_queue(start: Instant, count: usize) -> (AdmissionQueue, Instant) {
+    (queue_of(start, &vec![1; count]), start + 400 * MS)
+}
+
+/// Guards against late openings that wait for the time limit although there is no capacity for them, and against the
+/// refusal of some that can still start. The newest start first, one every 20 ms of the spare capacity.
+#[rstest]
+#[case::few(5, 1, 0, &[])]
+#[case::many(20, 1, 0, &[11, 10, 9, 8, 7, 6, 5, 4, 3, 2, 1])]
+#[case::half_spare(10, 1, 25, &[6, 5, 4, 3, 2, 1])]
+#[case::half_spare_and_few(3, 1, 25, &[])]
+#[case::busy_server(5, 8, 0, &[3, 2, 1])]
+#[case::full_server(3, 20, 0, &[3, 2, 1])]
+fn late_openings_that_cannot_start_in_time_are_refused(
+    #[case] count: usize,
+    #[case] busy: u32,
+    #[case] recorded: usize,
+    #[case] expected: &[u16],
+) {
+    let start = Instant::now();
+    let (mut queue, now) = late_queue(start, count);
+    let load = custody_load(now, busy);
+    for _ in 0..recorded {
+        queue.record_share(load, 1);
+    }
+    assert!(queue.take_expired(now).is_empty());
+    let refused = queue.take_unservable(load);
+    assert_eq!(ports(&refused), expected);
+    assert!(queue.take_unservable(load).is_empty());
+    assert!(queue.take_expired(now).is_empty());
+}
+
+/// Guards against refusals of late openings that count on the capacity that those on time need first, and against
+/// refusals of openings that are on time. Four of these take 80 ms.
+#[test]
+fn late_openings_wait_behind_those_on_time() {
+    let start = Instant::now();
+    let (mut queue, now) = late_queue(start, 8);
+    for n in 101..=104 {
+        queue.push(now, &opening(n), b"", custody(2));
+    }
+    let refused = queue.take_unservable(custody_load(now, 1));
+    assert_eq!(ports(&refused), [3, 2, 1]);
+    let mut kept = Vec::new();
+    while let Some(next) = queue.next(now, 40 * MS) {
+        kept.push((next.is_late, next.flow.caller.port()));
+        assert!(queue.remove(next.flow).is_some());
+    }
+    let on_time = (101..=104).map(|n| (false, n));
+    let late = [8, 7, 6, 5, 4].map(|n| (true, n));
+    assert_eq!(kept, on_time.chain(late).collect::<Vec<_>>());
+}
+
+/// Guards against a panic, and against an empty queue's capacity that is not a number, at the extreme values that a
+/// server or a route can have.
+#[rstest]
+#[case::no_slots(40 * MS, 2, 0)]
+#[case::most_slots(40 * MS, 2, u32::MAX)]
+#[case::no_work(Duration::ZERO, 2, 2)]
+#[case::longest_work(Duration::from_micros(u32::MAX.into()), 2, 2)]
+#[case::most_requests(40 * MS, u32::MAX, 1)]
+fn extreme_loads_lose_no_opening(#[case] work: Duration, #[case] busy: u32, #[case] slots: u32) {
+    let start = Instant::now();
+    let load = ServerLoad {
+        now: start + 4 * MS,
+        work,
+        busy,
+        slots,
+    };
+    let mut queue = queue_of(start, &[0, 1, 1, u32::MAX]);
+    for _ in 0..100 {
+        queue.record_share(load, 0);
+    }
+    let mut all = Vec::new();
+    let overdue = queue.take_overdue(load, opening(4).caller_flow());
+    all.extend(ports(&overdue));
+    all.extend(ports(&queue.take_unservable(load)));
+    all.extend(remove_all(&mut queue, load.now));
+    all.sort_unstable();
+    assert_eq!(all, [1, 2, 3, 4]);
+}
