Test the new fields of reports and datagrams against the previous version

Cause: no test had a value other than the default in a new field, and none covered a message of the previous version.

Change: round trips of the new fields, and messages between this version and a stand-in of the previous one in both directions.

--- a/crates/wire/tests/testsuite/forwarded.rs
+++ b/crates/wire/tests/testsuite/forwarded.rs
@@ -77,6 +77,10 @@
 #[case::heard(Datagram::from(Heartbeat { last_seen_age: Some(Duration::from_millis(250)), ..heartbeat(NodeRole::Agent) }))]
 #[case::report(Datagram::from(Heartbeat { report: Some(report(None)), ..heartbeat(NodeRole::Agent) }))]
 #[case::measured(Datagram::from(Heartbeat { report: Some(report(Some(Duration::from_micros(15_432)))), ..heartbeat(NodeRole::Agent) }))]
+#[case::waiting(Datagram::from(Heartbeat { report: Some(ServerReport { waiting: 2, stalled: 1, ..report(None) }), ..heartbeat(NodeRole::Agent) }))]
+#[case::no_flow_requests(Datagram::from(Heartbeat { report: Some(ServerReport { flow_request_rate: Some(0.into()), ..report(None) }), ..heartbeat(NodeRole::Agent) }))]
+#[case::largest_numbers(Datagram { idle_slots: u32::MAX, ..Datagram::from(Heartbeat { report: Some(ServerReport { waiting: u32::MAX, stalled: u32::MAX, flow_request_rate: Some(u32::MAX.into()), slots: 0, ..report(None) }), ..heartbeat(NodeRole::Agent) }) })]
+#[case::idle_slots(Datagram { idle_slots: 2, ..Datagram::from(heartbeat(NodeRole::Agent)) })]
 #[case::locations(Datagram { flow_locations: vec![location(1), location(2)], ..Datagram::from(heartbeat(NodeRole::Agent)) })]
 #[case::nodes(Datagram { nodes: [NodeRole::Balancer, NodeRole::Agent, NodeRole::Control].map(|role| NodeAddress { ip: Ipv4Addr::new(10, 1, 0, 9), role }).to_vec(), ..Datagram::from(heartbeat(NodeRole::Control)) })]
 #[case::node_list_held(Datagram { node_list_hash: Some(u64::MAX.into()), agents_without_earlier_flows: vec![Ipv4Addr::new(10, 1, 0, 9)], ..Datagram::from(heartbeat(NodeRole::Control)) })]
@@ -104,6 +108,107 @@
     assert!(bytes <= 1_400, "{bytes}");
 }
 
+/// The fields of a datagram of the previous version that carries a report.
+#[derive(Clone, PartialEq, Message)]
+struct PreviousDatagram {
+    #[prost(fixed64, tag = "1")]
+    boot: u64,
+    #[prost(int32, tag = "2")]
+    role: i32,
+    #[prost(uint64, tag = "3")]
+    config_index: u64,
+    #[prost(message, optional, tag = "5")]
+    report: Option<PreviousReport>,
+}
+
+/// A report of the previous version.
+#[derive(Clone, PartialEq, Message)]
+struct PreviousReport {
+    #[prost(string, tag = "1")]
+    service: String,
+    #[prost(string, tag = "2")]
+    zone: String,
+    #[prost(bool, tag = "3")]
+    open: bool,
+    #[prost(bool, tag = "4")]
+    cold: bool,
+    #[prost(uint32, tag = "5")]
+    busy: u32,
+    #[prost(uint32, tag = "6")]
+    flows: u32,
+    #[prost(uint32, tag = "7")]
+    slots: u32,
+    #[prost(uint32, optional, tag = "8")]
+    work_us: Option<u32>,
+    #[prost(uint32, optional, tag = "9")]
+    answer_bytes: Option<u32>,
+    #[prost(uint32, tag = "10")]
+    failed_permille: u32,
+    #[prost(bool, tag = "11")]
+    suspended: bool,
+}
+
+/// Returns what a node of the previous version sends for `report(Some(30 ms))`.
+fn previous_datagram() -> PreviousDatagram {
+    PreviousDatagram {
+        boot: u64::MAX,
+        role: wire::Role::Agent.into(),
+        config_index: 12,
+        report: Some(PreviousReport {
+            service: "orders & more".to_owned(),
+            zone: "las-piedras".to_owned(),
+            open: true,
+            cold: true,
+            busy: 3,
+            flows: 40,
+            slots: 2,
+            work_us: Some(30_000),
+            answer_bytes: Some(1200),
+            failed_permille: 271,
+            suspended: true,
+        }),
+    }
+}
+
+/// Guards against an agent of the previous version that seems to have waiting openings, stalled requests or idle slots
+/// on offer, or whose unknown rate of requests counts as a measured one of zero.
+#[test]
+fn a_datagram_of_the_previous_version_has_none_of_the_new_values() {
+    let bytes = previous_datagram().encode_to_vec();
+    let read = wire::Datagram::decode(&*bytes).unwrap();
+    let read = Datagram::try_from(read).unwrap();
+    let expected = Datagram::from(Heartbeat {
+        report: Some(report(Some(Duration::from_millis(30)))),
+        ..heartbeat(NodeRole::Agent)
+    });
+    assert_eq!(read, expected);
+    assert_eq!(read.idle_slots, 0);
+    let report = read.heartbeat.report.unwrap();
+    assert_eq!((report.waiting, report.stalled), (0, 0));
+    assert_eq!(report.flow_request_rate, None);
+}
+
+/// Guards against a new field that takes the number of an earlier one, which a node of the previous version would
+/// misread or reject.
+#[test]
+fn the_previous_version_reads_a_datagram_without_the_new_values() {
+    let sent = Datagram {
+        idle_slots: 2,
+        ..Datagram::from(Heartbeat {
+            report: Some(ServerReport {
+                waiting: 5,
+                stalled: 1,
+                flow_request_rate: Some(250.into()),
+                ..report(Some(Duration::from_millis(30)))
+            }),
+            ..heartbeat(NodeRole::Agent)
+        })
+    };
+    let bytes = wire::Datagram::from(&sent).encode_to_vec();
+    let read = PreviousDatagram::decode(&*bytes).unwrap();
+    assert_eq!(read, previous_datagram());
+}
+
 #[test]
 fn service_maps_round_trip() {
     let target = |service: &str, weight| Target {
