--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering::Relaxed;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -26,6 +28,12 @@
 const CALLERS: u8 = 4;
 /// Mean rate at which one host opens flows, per second.
 const FLOWS_PER_SECOND: f64 = 15.0;
+/// Time between two bursts of a host, in milliseconds.
+const BURST_INTERVAL_MS: std::ops::Range<u64> = 1000..4000;
+/// Flows that a host opens at once in a burst; together they exceed what the servers can take in a second.
+const BURST_FLOWS: u32 = 150;
+/// Number of times that a refused caller returns.
+const RETRIES: u32 = 2;
 /// Fraction of flows that stay open for several requests.
 const LONG_FLOW_RATIO: f64 = 0.3;
 const LONG_FLOW_REQUESTS: u32 = 20;
@@ -41,6 +49,8 @@
 /// Largest distance of the sequence number of a valid reset from the next one that the caller expects.
 const RESET_WINDOW: u32 = 76_800;
 const REQUEST_BYTES: usize = 100;
+/// Lowest port of a caller's flows.
+const FIRST_PORT: u16 = 10_000;
 /// Time between two health checks; a balancer that fails two in a row gets no packets.
 const HEALTH_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -94,13 +104,15 @@
     fabric: Arc<Fabric>,
     checker: Arc<Checker>,
     flows: Mutex<Flows>,
+    next_port: AtomicU16,
 }
 
-/// Starts the callers, which run until `stop` is cancelled.
+/// Starts the callers, which run until `stop` is cancelled. Bursts of calls begin until `bursts_until`.
 pub async fn start(
     layout: Layout,
     checker: &Arc<Checker>,
     stop: &CancellationToken,
+    bursts_until: Instant,
     seed: u64,
 ) -> io::Result<()> {
     let fabric = Arc::new(Fabric {
@@ -117,20 +129,32 @@
             fabric: Arc::clone(&fabric),
             checker: Arc::clone(checker),
             flows: Mutex::default(),
+            next_port: AtomicU16::new(FIRST_PORT),
         });
         let rng = StdRng::seed_from_u64(seed ^ u64::from(n));
+        let burst_rng = StdRng::seed_from_u64(!seed ^ u64::from(n));
         let stop = stop.clone();
         tokio::spawn(async move {
             tokio::select! {
                 () = stop.cancelled() => {}
                 () = Arc::clone(&caller).receive() => {}
                 () = Arc::clone(&caller).open_flows(rng, stop.clone()) => {}
+                () = Arc::clone(&caller).open_bursts(burst_rng, stop.clone(), bursts_until) => {}
             }
         });
     }
     Ok(())
 }
 
+/// What became of the opening packets of a flow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Opening {
+    Opened,
+    /// The flow was reset at once.
+    Refused,
+    Unanswered,
+}
+
 /// An open flow, as its caller sees it.
 struct OpenFlow {
     key: FlowKey,
@@ -170,35 +194,84 @@
     }
 
     async fn open_flows(self: Arc<Self>, mut rng: StdRng, stop: CancellationToken) {
-        let mut port = 10_000;
         loop {
             let gap = -rng.random_range(1e-9_f64..1.0).ln() / FLOWS_PER_SECOND;
             sleep(Duration::from_secs_f64(gap)).await;
-            port = if port == u16::MAX { 10_000 } else { port + 1 };
             let is_long = rng.random_bool(LONG_FLOW_RATIO);
             let service = if rng.random_bool(0.7) {
                 ORDERS_ADDRESS
             } else {
                 SHEETS_ADDRESS
             };
-            let key = FlowKey {
-                caller: SocketAddrV4::new(self.ip, port),
-                service,
-            };
-            let this = Arc::clone(&self);
-            let (first_seq, requests) =
-                (rng.random(), if is_long { LONG_FLOW_REQUESTS } else { 1 });
-            tokio::spawn(stop.clone().run_until_cancelled_owned(async move {
-                this.flow(key, first_seq, requests).await;
-            }));
+            let requests = if is_long { LONG_FLOW_REQUESTS } else { 1 };
+            self.spawn_call(&stop, service, rng.random(), requests);
+        }
+    }
+
+    async fn open_bursts(
+        self: Arc<Self>,
+        mut rng: StdRng,
+        stop: CancellationToken,
+        until: Instant,
+    ) {
+        loop {
+            sleep(Duration::from_millis(rng.random_range(BURST_INTERVAL_MS))).await;
+            if Instant::now() >= until {
+                break;
+            }
+            for _ in 0..BURST_FLOWS {
+                self.spawn_call(&stop, ORDERS_ADDRESS, rng.random(), 1);
+            }
         }
+        stop.cancelled().await;
     }
 
-    async fn flow(&self, key: FlowKey, first_seq: u32, requests: u32) {
+    fn spawn_call(
+        self: &Arc<Self>,
+        stop: &CancellationToken,
+        service: SocketAddrV4,
+        first_seq: u32,
+        requests: u32,
+    ) {
+        let this = Arc::clone(self);
+        tokio::spawn(stop.clone().run_until_cancelled_owned(async move {
+            for attempt in 0..=RETRIES {
+                let key = FlowKey {
+                    caller: SocketAddrV4::new(this.ip, this.take_port()),
+                    service,
+                };
+                let is_last = attempt == RETRIES;
+                let first_seq = first_seq.wrapping_add(attempt);
+                if this.flow(key, first_seq, requests, is_last).await != Opening::Refused {
+                    break;
+                }
+            }
+        }));
+    }
+
+    fn take_port(&self) -> u16 {
+        let next = |port| {
+            Some(if port == u16::MAX {
+                FIRST_PORT
+            } else {
+                port + 1
+            })
+        };
+        let port = self.next_port.fetch_update(Relaxed, Relaxed, next);
+        port.unwrap_or(FIRST_PORT)
+    }
+
+    /// Opens a flow and sends requests on it. If it is refused and `is_last` is false, the call has not ended.
+    async fn flow(&self, key: FlowKey, first_seq: u32, requests: u32, is_last: bool) -> Opening {
         let (tx, mut rx) = mpsc::channel(64);
         lock(&self.flows).insert(key.caller.port(), tx);
-        match self.open(key, first_seq, &mut rx).await {
-            Some(mut flow) => {
+        let opened = self.open(key, first_seq, &mut rx).await;
+        let opening = match &opened {
+            Ok(_) => Opening::Opened,
+            Err(opening) => *opening,
+        };
+        match opened {
+            Ok(mut flow) => {
                 for n in 0..requests {
                     if n > 0 {
                         sleep(PAUSE).await;
@@ -212,12 +285,19 @@
                 self.send(&flow, Flags::FIN | Flags::ACK, &[]).await;
                 self.checker.on_flow_end(key);
             }
-            None => self.checker.on_call_end(false),
+            Err(Opening::Refused) if !is_last => {}
+            Err(_) => self.checker.on_call_end(false),
         }
         lock(&self.flows).remove(&key.caller.port());
+        opening
     }
 
-    async fn open(&self, key: FlowKey, first_seq: u32, rx: &mut Inbox) -> Option<OpenFlow> {
+    async fn open(
+        &self,
+        key: FlowKey,
+        first_seq: u32,
+        rx: &mut Inbox,
+    ) -> Result<OpenFlow, Opening> {
         let started_at = Instant::now();
         let due = [Duration::ZERO]
             .into_iter()
@@ -228,7 +308,7 @@
             let next = due.peek().map_or(OPENING_TIMEOUT, |(at, _)| *at);
             tokio::select! {
                 () = sleep_until((started_at + next).into()) => {
-                    let (_, copy) = due.next()?;
+                    let (_, copy) = due.next().ok_or(Opening::Unanswered)?;
                     let header = Header {
                         source: key.caller,
                         target: key.service,
@@ -242,10 +322,10 @@
                 }
                 Some((header, _)) = rx.recv() => {
                     if header.flags.has(Flags::RST) {
-                        return None;
+                        return Err(Opening::Refused);
                     }
                     if header.flags.has(Flags::SYN) {
-                        return Some(OpenFlow {
+                        return Ok(OpenFlow {
                             key,
                             server_seq: header.seq,
                             seq: first_seq.wrapping_add(1),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -144,7 +144,8 @@
         .await
         .context(bound)?;
     let operator = Operator::start(layout, checker, &stop, options.seed);
-    let callers = callers::start(layout, checker, &stop, options.seed);
+    let bursts_until = Instant::now() + options.injection_time;
+    let callers = callers::start(layout, checker, &stop, bursts_until, options.seed);
     callers.await.context(bound)?;
     let served = async {
         while checker.call_counts().served < 50 {
