--- a/crates/core/src/forwarded/agent/openings.rs
+++ b/crates/core/src/forwarded/agent/openings.rs
@@ -102,6 +102,7 @@
             return self.redirect_to(now, to, header, Reason::Suspended);
         }
         let since = self.first_seen(now, header);
+        let header = &header.with_age(now.saturating_duration_since(since));
         if self.queue.is_empty() && self.busy < self.slots() {
             let admission = if self.is_in_time(now, since, key) {
                 Admission::InTime
@@ -257,12 +258,7 @@
     /// Sends a packet that was taken from the queue to a peer.
     fn forward_queued(&mut self, now: Instant, to: Ipv4Addr, w: &QueuedOpening, why: Reason) {
         let age = now.saturating_duration_since(w.since());
-        let trail = Trail {
-            age,
-            ..w.header.trail
-        };
-        let header = Header { trail, ..w.header };
-        let disposition = self.redirect_to(now, to, &header, why);
+        let disposition = self.redirect_to(now, to, &w.header.with_age(age), why);
         if let Disposition::Forward { to, trail } = disposition {
             let packet = w.packet.clone();
             self.actions.push(Action::Forward { to, trail, packet });
@@ -295,8 +291,7 @@
         }
     }
 
-    /// Whether opening packets of peers may come to the server: it is not slow, failing, leaving or about to be
-    /// without its zone.
+    /// Whether peers may send opening packets here: the server is ready, warm and not suspended, and its zone enabled.
     fn can_take_openings(&self, now: Instant) -> bool {
         let statement = self.server.statement();
         !self.is_stopping
--- a/crates/core/src/forwarded/packet.rs
+++ b/crates/core/src/forwarded/packet.rs
@@ -172,6 +172,15 @@
         }
     }
 
+    /// Returns the header with the age that an agent tells the next one when it redirects the packet.
+    #[must_use]
+    pub const fn with_age(&self, age: Duration) -> Self {
+        Self {
+            trail: Trail { age, ..self.trail },
+            ..*self
+        }
+    }
+
     /// Time since the caller sent its first opening packet: what the agent that redirected the packet knew, or what the
     /// number of this copy tells.
     pub fn age(&self) -> Duration {
