--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::net::{SocketAddr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -22,6 +22,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
 /// Time that a server takes to process a request.
 const SERVICE_TIME: Duration = Duration::from_millis(10);
+/// Time within which a process that was started executes its program, also on a busy machine.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
+const RELEASE_INTERVAL: Duration = Duration::from_millis(5);
 /// Number of concurrent requests that a server reports as its limit.
 const SLOTS: u32 = 2;
 /// Time for which a draining server still serves.
@@ -90,6 +93,26 @@
     Ok(servers)
 }
 
+/// Binds the sockets of a server. A process that the fleet is just starting holds copies of the sockets of an earlier
+/// incarnation until it executes its program, so an address in use is tried again for a while.
+async fn bind_when_released(address: (Ipv4Addr, u16)) -> io::Result<(TcpListener, UdpSocket)> {
+    let until = Instant::now() + RELEASE_TIMEOUT;
+    loop {
+        let bound = async {
+            let listener = TcpListener::bind(address).await?;
+            Ok((listener, UdpSocket::bind(address).await?))
+        };
+        match bound.await {
+            Err(e) if is_in_use(&e) && Instant::now() < until => sleep(RELEASE_INTERVAL).await,
+            bound => return bound,
+        }
+    }
+}
+
+fn is_in_use(e: &io::Error) -> bool {
+    e.kind() == io::ErrorKind::AddrInUse
+}
+
 impl Server {
     /// Returns the number of the host that the server runs on.
     pub const fn host(&self) -> Host {
@@ -103,8 +126,7 @@
         }
         let held = Arc::clone(&self.sockets).lock_owned().await;
         let address = (self.layout.bind_address(self.host), self.layout.server);
-        let listener = TcpListener::bind(address).await?;
-        let socket = UdpSocket::bind(address).await?;
+        let (listener, socket) = bind_when_released(address).await?;
         let token = self.stop.child_token();
         *lock(&self.current) = Some(token.clone());
         *lock(&self.drain) = None;
