Wait until a free port is released before it is returned

Cause: free_port closes its listener, but a process that another test is just starting holds a copy of it until it executes its program.

Change: the listener is opened before the datagram socket, and a connection attempt shows when no copy of it is open any more.

--- a/crates/soak/src/network.rs
+++ b/crates/soak/src/network.rs
@@ -29,6 +29,8 @@
 
 /// Number of ports that are tried; a port that is free for UDP may be in use for TCP.
 const PORT_TRIES: u32 = 20;
+/// Interval between checks of whether a port is released.
+const RELEASE_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Number of a host, from 1.
 pub type Host = u8;
@@ -66,9 +68,14 @@
 }
 
 fn find_port_once() -> io::Result<u16> {
-    let socket = std::net::UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
-    let port = socket.local_addr()?.port();
-    let _listener = std::net::TcpListener::bind((Ipv4Addr::UNSPECIFIED, port))?;
+    let listener = std::net::TcpListener::bind((Ipv4Addr::UNSPECIFIED, 0))?;
+    let port = listener.local_addr()?.port();
+    let socket = std::net::UdpSocket::bind((Ipv4Addr::UNSPECIFIED, port))?;
+    drop((socket, listener));
+    // A process that another thread is just starting holds a copy of the listener until it executes its program.
+    while std::net::TcpStream::connect((Ipv4Addr::LOCALHOST, port)).is_ok() {
+        std::thread::sleep(RELEASE_POLL_INTERVAL);
+    }
     Ok(port)
 }
 
