Add dogwoodrill explain

Cause: an operator who asks why a request went where it did, or would go, has only the log of decisions that were made.

Change: dogwoodrill explain asks balancers and agents over their metrics endpoint, which serves GET /explain with JSON. The question reaches the task that owns the state machine through a bounded channel; the task answers one per tick, which bounds the delay of packets and lets no question starve under load. The handlers of HTTP calls get the whole URI, because the path has no arguments.

--- a/examples/packet_calls.rs
+++ b/examples/packet_calls.rs
@@ -50,7 +50,7 @@
     let (seeds, _hosts, _agent) = fleet.block_on(async {
         let (seeds, hosts) = bootstrap_cluster(FLEET, ports, &data).await;
         put_document(&hosts.iter().collect::<Vec<_>>(), 2).await;
-        let (server, agent) = hosts::start_agent(FLEET, 10, ports, &seeds).await;
+        let (server, _, agent) = hosts::start_agent(FLEET, 10, ports, &seeds).await;
         tokio::spawn(async move {
             for sequence in 1.. {
                 server.report(server_report(&server, sequence)).await;
--- a/src/bin/dogwoodrill/main.rs
+++ b/src/bin/dogwoodrill/main.rs
@@ -12,6 +12,7 @@
 mod certs;
 mod check_config;
 mod control;
+mod explain;
 mod load;
 mod node;
 mod output;
@@ -59,6 +60,8 @@
     Zone(zone::Cli),
     #[options(help = "show the control hosts and the configuration")]
     Status(status::Cli),
+    #[options(help = "explain where a new flow would go")]
+    Explain(explain::Cli),
     #[options(help = "report on error budgets")]
     Report(report::Cli),
     #[options(help = "call a service at a fixed rate")]
@@ -109,6 +112,7 @@
         Command::Profile(cli) => profile::run(cli).await,
         Command::Zone(cli) => zone::run(cli).await,
         Command::Status(cli) => status::run(cli).await,
+        Command::Explain(cli) => explain::run(cli).await,
         Command::Report(cli) => report::run(cli).await,
         Command::Load(cli) => load::run(cli).await,
         Command::Certs(cli) => certs::run(cli),
--- a/src/forwarded.rs
+++ b/src/forwarded.rs
@@ -4,7 +4,8 @@
 //! [`balancer`], [`agent`] and [`control`] each drive a state machine of [`dogwoodrill_core::forwarded`] with
 //! sockets and timers. One task owns the state machine and processes the received packets in batches, so that
 //! one wake-up serves many packets. [`datagrams`] exchanges messages between nodes, [`fetch`] fetches the
-//! configuration from a control host, and [`journal`] logs decisions and events.
+//! configuration from a control host, and [`journal`] logs decisions and events. [`explain`] asks the
+//! task where a new flow would go.
 //!
 //! A [`PacketFormat`] reads and writes the packets, so the drivers do not depend on a wire format.
 
@@ -14,6 +15,7 @@
 pub mod balancer;
 pub mod control;
 pub mod datagrams;
+pub mod explain;
 pub mod fetch;
 pub mod journal;
 mod link;
--- a/src/forwarded/agent.rs
+++ b/src/forwarded/agent.rs
@@ -21,6 +21,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Format;
+use super::explain::{self, ExplainHandle, Explanation, Questions};
 use super::fetch::FetchResult;
 use super::journal::{Event, Journal};
 use super::link::NodeIo;
@@ -104,6 +105,8 @@
     next_load_report_at: Instant,
     server_messages: mpsc::Receiver<ServerMessage>,
     handle: ServerHandle,
+    explain: ExplainHandle,
+    questions: Questions,
     ready: watch::Sender<bool>,
     stop_at: Option<Instant>,
 }
@@ -123,6 +126,7 @@
         let node_io = NodeIo::bind(cx, settings, calls.clone(), journal)?;
         let mesh = Mesh::new(node_io.datagrams.own_address());
         let (tx, server_messages) = mpsc::channel(SERVER_MESSAGE_CAPACITY);
+        let (explain, questions) = explain::channel();
         let (interval, max_age) = (settings.report_interval, settings.max_flow_age);
         Ok(Self {
             format,
@@ -140,6 +144,8 @@
                 tx,
                 server: sockets.server,
             },
+            explain,
+            questions,
             ready: watch::Sender::new(false),
             stop_at: None,
         })
@@ -150,6 +156,11 @@
         self.handle.clone()
     }
 
+    /// Returns a handle for asking where new flows would go.
+    pub fn explain(&self) -> ExplainHandle {
+        self.explain.clone()
+    }
+
     /// Watches readiness: `true` while the agent has a configuration and was not asked to stop.
     pub fn ready(&self) -> watch::Receiver<bool> {
         self.ready.subscribe()
@@ -301,6 +312,9 @@
         self.node_io.record_decisions(decisions, self.agent.flows());
         let offers = self.agent.slot_offer_stats();
         self.node_io.metrics.set_queue(self.agent.waiting(), offers);
+        self.questions.answer_one(now, |query| {
+            self.agent.explain(now, query).map(Explanation::from)
+        });
         self.stop_at.is_some_and(|at| at <= now)
     }
 
--- a/src/forwarded/balancer.rs
+++ b/src/forwarded/balancer.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Format;
+use super::explain::{self, ExplainHandle, Explanation, Questions};
 use super::fetch::FetchResult;
 use super::journal::{Event, Journal};
 use super::link::NodeIo;
@@ -38,6 +39,8 @@
     port: u16,
     node_io: NodeIo,
     balancer: Balancer,
+    explain: ExplainHandle,
+    questions: Questions,
     ready: watch::Sender<bool>,
     ready_from: Instant,
     shutdown_delay: Duration,
@@ -56,6 +59,7 @@
         let now = Instant::now();
         let calls = SocketCallCounters::register(&cx.metrics);
         let node_io = NodeIo::bind(cx, settings, calls.clone(), journal)?;
+        let (explain, questions) = explain::channel();
         let mesh = Mesh::new(node_io.datagrams.own_address());
         Ok(Self {
             format,
@@ -63,6 +67,8 @@
             port: sockets.packets.port(),
             node_io,
             balancer: Balancer::new(now, mesh, settings.zone.clone(), rand::random()),
+            explain,
+            questions,
             ready: watch::Sender::new(false),
             ready_from: now + READY_DELAY,
             shutdown_delay: SHUTDOWN_DELAY.min(settings.stop_grace / 2),
@@ -70,6 +76,11 @@
         })
     }
 
+    /// Returns a handle for asking where new flows would go.
+    pub fn explain(&self) -> ExplainHandle {
+        self.explain.clone()
+    }
+
     /// Watches readiness: whether the fabric may send packets to this balancer.
     pub fn ready(&self) -> watch::Receiver<bool> {
         self.ready.subscribe()
@@ -146,6 +157,9 @@
         let decisions = self.balancer.take_decisions();
         self.node_io
             .record_decisions(decisions, self.balancer.cached());
+        self.questions.answer_one(now, |query| {
+            self.balancer.explain(now, query).map(Explanation::from)
+        });
         self.stop_at.is_some_and(|at| at <= now)
     }
 
--- a/src/http.rs
+++ b/src/http.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ::http::header::{CONTENT_TYPE, HeaderValue};
-use ::http::{Method, Request, Response, StatusCode};
+use ::http::{Method, Request, Response, StatusCode, Uri};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -30,12 +30,7 @@
 /// Handles the calls to a server.
 pub(crate) trait HttpHandler: Send + Sync + 'static {
     /// Handles one call.
-    fn handle(
-        &self,
-        method: Method,
-        path: String,
-        body: Bytes,
-    ) -> impl Future<Output = Reply> + Send;
+    fn handle(&self, method: Method, uri: Uri, body: Bytes) -> impl Future<Output = Reply> + Send;
 }
 
 /// Limits of a server.
@@ -100,10 +95,7 @@
 async fn handle<C: HttpHandler>(calls: &C, body_bytes: usize, req: Request<Incoming>) -> Reply {
     let (parts, body) = req.into_parts();
     match Limited::new(body, body_bytes).collect().await {
-        Ok(body) => {
-            let path = parts.uri.path().to_owned();
-            calls.handle(parts.method, path, body.to_bytes()).await
-        }
+        Ok(body) => calls.handle(parts.method, parts.uri, body.to_bytes()).await,
         Err(e) => text(
             StatusCode::BAD_REQUEST,
             format!("cannot read the body: {e}\n"),
--- a/src/monitor.rs
+++ b/src/monitor.rs
@@ -1,4 +1,5 @@
-//! HTTP endpoint for monitoring a process: `/metrics` for Prometheus, `/healthz` for the fabric.
+//! HTTP endpoint for monitoring a process: `/metrics` for Prometheus, `/healthz` for the fabric, and
+//! `/explain` for operators of forwarded flows.
 //!
 //! An agent or control host is healthy from when it has a configuration until it starts to stop or
 //! detects that it is isolated. A balancer determines its health itself, see [`FabricHealth`].
@@ -8,7 +9,7 @@
 use std::sync::Arc;
 
 use ::http::header::{CONTENT_TYPE, HeaderValue};
-use ::http::{Method, StatusCode};
+use ::http::{Method, StatusCode, Uri};
 use bytes::Bytes;
 use derive_more::Display;
 use dogwoodrill_core::ids::LogIndex;
@@ -23,8 +24,10 @@
 use crate::balancer::health::FabricHealth;
 use crate::cluster::Cluster;
 use crate::context::Cx;
+use crate::forwarded::explain::ExplainHandle;
 use crate::http::{HttpHandler, Reply, Server, ServerLimits, text};
 
+mod explain;
 mod metrics;
 
 pub use metrics::ProcessMetrics;
@@ -127,10 +130,21 @@
             page: Arc::new(Page {
                 registry: cx.metrics.clone(),
                 health,
+                explain: None,
             }),
         })
     }
 
+    /// Also serves `/explain`, with the answers of a node.
+    #[must_use]
+    pub fn with_explain(mut self, handle: ExplainHandle) -> Self {
+        self.page = Arc::new(Page {
+            explain: Some(handle),
+            ..Page::clone(&self.page)
+        });
+        self
+    }
+
     /// Returns the bound address.
     pub fn address(&self) -> std::io::Result<SocketAddr> {
         self.listener.local_addr()
@@ -144,18 +158,30 @@
 }
 
 /// Handler of the endpoint's requests.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Page {
     registry: Registry,
     health: Health,
+    /// The node that is asked where new flows would go, if the process is a balancer or agent of forwarded flows.
+    explain: Option<ExplainHandle>,
 }
 
 impl HttpHandler for Page {
-    async fn handle(&self, method: Method, path: String, _body: Bytes) -> Reply {
-        match (method, path.as_str()) {
+    async fn handle(&self, method: Method, uri: Uri, _body: Bytes) -> Reply {
+        match (method, uri.path()) {
             (Method::GET | Method::HEAD, "/metrics") => self.metrics(),
             (Method::GET | Method::HEAD, "/healthz") => self.health(),
+            (Method::GET | Method::HEAD, "/explain") if let Some(explain) = &self.explain => {
+                explain::reply(explain, uri.query()).await
+            }
+            (_, "/explain") if self.explain.is_some() => {
+                text(StatusCode::METHOD_NOT_ALLOWED, "use GET\n")
+            }
             (_, "/metrics" | "/healthz") => text(StatusCode::METHOD_NOT_ALLOWED, "use GET\n"),
+            _ if self.explain.is_some() => text(
+                StatusCode::NOT_FOUND,
+                "not found; the paths are /metrics, /healthz and /explain\n",
+            ),
             _ => text(
                 StatusCode::NOT_FOUND,
                 "not found; the paths are /metrics and /healthz\n",
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -16,6 +16,7 @@
 mod check_config;
 mod daemons;
 mod exit;
+mod explain;
 pub mod load;
 mod node;
 mod outcome;
@@ -36,6 +37,7 @@
     EXIT_ABORTED, EXIT_FAILED, EXIT_NOT_CONFIRMED, EXIT_UNKNOWN_OUTCOME, EXIT_USAGE,
     EXIT_VERSION_CONFLICT, exit_code,
 };
+pub use explain::{ExplainCommandError, ExplainOptions, Explanations, NodeEndpoint, explain};
 pub use load::{LoadError, LoadOptions, LoadResult, RequestClass, load};
 pub use node::{NodeError, NodeOptions, run_node};
 pub use outcome::{Outcome, one_line};
@@ -70,6 +72,12 @@
         /// The underlying error.
         source: CommandError,
     },
+    /// No node explained where a flow would go.
+    #[snafu(transparent)]
+    Explain {
+        /// The underlying error.
+        source: ExplainCommandError,
+    },
     /// `load` could not start or could not write its page.
     #[snafu(transparent)]
     Load {
--- a/src/ops/node.rs
+++ b/src/ops/node.rs
@@ -28,6 +28,7 @@
 use crate::forwarded::agent::AgentNode;
 use crate::forwarded::balancer::BalancerNode;
 use crate::forwarded::control::{ControlNode, ControlNodeError, node_id_from_ip};
+use crate::forwarded::explain::ExplainHandle;
 use crate::forwarded::journal::{Event, Journal};
 use crate::http::{HttpHandler, Server, ServerLimits};
 use crate::logs;
@@ -43,7 +44,7 @@
 /// that it does not drop them.
 const POLLS_PER_SEED_UPDATE: u32 = 5;
 /// TCP port of the metrics endpoint on every host; must match `deploy/system.toml`.
-const METRICS_PORT: u16 = 9464;
+pub(super) const METRICS_PORT: u16 = 9464;
 
 /// Limits of the HTTP servers: connections for a few hundred operators and servers, and bodies up to the
 /// platform's largest configuration.
@@ -171,7 +172,7 @@
                 let node = BalancerNode::bind(cx, settings, sockets, PlatformPacketFormat, journal);
                 let node = node.context(BindSnafu { role })?;
                 self.serve_ready(sockets.ready, node.ready()).await?;
-                self.monitor(Arc::default()).await?;
+                self.monitor(Arc::default(), Some(node.explain())).await?;
                 node.run(self.seeds, self.stop).await
             }
             RoleSettings::Agent(sockets) => {
@@ -183,7 +184,7 @@
                 }
                 let calls = servers::CallHandler::new(node.handle(), sockets.service.clone());
                 self.serve(sockets.reports, calls).await?;
-                self.monitor(Arc::default()).await?;
+                self.monitor(Arc::default(), Some(node.explain())).await?;
                 node.run(self.seeds, self.stop).await
             }
             RoleSettings::Control(control_settings) => {
@@ -194,7 +195,7 @@
                 let port = control_settings.operators.port();
                 let calls = operators::CallHandler::new(node.handle(), node.cluster(), port);
                 self.serve(control_settings.operators, calls).await?;
-                self.monitor(node.cluster()).await?;
+                self.monitor(node.cluster(), None).await?;
                 return Ok(Box::pin(node.run(self.seeds, self.stop)).await?);
             }
         };
@@ -222,10 +223,18 @@
         Ok(())
     }
 
-    async fn monitor(&self, cluster: Arc<Cluster>) -> Result<(), NodeError> {
+    async fn monitor(
+        &self,
+        cluster: Arc<Cluster>,
+        explain: Option<ExplainHandle>,
+    ) -> Result<(), NodeError> {
         let address = SocketAddrV4::new(self.settings.bind_ip, METRICS_PORT);
         let health = Health::Node(cluster, self.stop.clone());
         let monitor = Monitor::bind(&self.cx, address.into(), health).await?;
+        let monitor = match explain {
+            Some(explain) => monitor.with_explain(explain),
+            None => monitor,
+        };
         tokio::spawn(Arc::new(monitor).run());
         Ok(())
     }
--- a/src/ops/node/operators.rs
+++ b/src/ops/node/operators.rs
@@ -9,7 +9,7 @@
 use dogwoodrill_core::ids::AvailabilityZone;
 use dogwoodrill_platform::calls::{self, OperatorCall};
 use http::header::{HeaderValue, LOCATION};
-use http::{Method, StatusCode};
+use http::{Method, StatusCode, Uri};
 
 use crate::cluster::Cluster;
 use crate::control::handle::Handle;
@@ -110,11 +110,12 @@
 }
 
 impl HttpHandler for CallHandler {
-    async fn handle(&self, method: Method, path: String, body: Bytes) -> Reply {
-        match calls::parse_operator_call(&method, &path, body) {
-            Ok(OperatorCall::PutConfig(document)) => self.put(&path, document).await,
-            Ok(OperatorCall::GetConfig) => self.get(&path).await,
-            Ok(OperatorCall::SetZoneStatus(zone, status)) => self.zone(&path, zone, status).await,
+    async fn handle(&self, method: Method, uri: Uri, body: Bytes) -> Reply {
+        let path = uri.path();
+        match calls::parse_operator_call(&method, path, body) {
+            Ok(OperatorCall::PutConfig(document)) => self.put(path, document).await,
+            Ok(OperatorCall::GetConfig) => self.get(path).await,
+            Ok(OperatorCall::SetZoneStatus(zone, status)) => self.zone(path, zone, status).await,
             Err(e) => {
                 log::info!("refused {method} {path}: {e}");
                 text(e.status(), format!("{e}\n"))
--- a/src/ops/node/ready.rs
+++ b/src/ops/node/ready.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use dogwoodrill_platform::calls::READY_PATH;
-use http::{Method, StatusCode};
+use http::{Method, StatusCode, Uri};
 use tokio::sync::watch;
 
 use crate::http::{HttpHandler, Reply, text};
@@ -20,8 +20,8 @@
 }
 
 impl HttpHandler for Ready {
-    async fn handle(&self, _method: Method, path: String, _body: Bytes) -> Reply {
-        match (path.as_str(), *self.ready.borrow()) {
+    async fn handle(&self, _method: Method, uri: Uri, _body: Bytes) -> Reply {
+        match (uri.path(), *self.ready.borrow()) {
             (READY_PATH, true) => text(StatusCode::OK, "ready\n"),
             (READY_PATH, false) => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             _ => text(
--- a/src/ops/node/servers.rs
+++ b/src/ops/node/servers.rs
@@ -4,7 +4,7 @@
 use dogwoodrill_core::forwarded::server::ServerStatement;
 use dogwoodrill_core::forwarded::service_map::ServiceLabel;
 use dogwoodrill_platform::calls::{self, ServerCall};
-use http::{Method, StatusCode};
+use http::{Method, StatusCode, Uri};
 
 use crate::forwarded::agent::ServerHandle;
 use crate::http::{HttpHandler, Reply, json, text};
@@ -31,8 +31,9 @@
 }
 
 impl HttpHandler for CallHandler {
-    async fn handle(&self, method: Method, path: String, body: Bytes) -> Reply {
-        let call = match calls::parse_server_call(&method, &path, &body) {
+    async fn handle(&self, method: Method, uri: Uri, body: Bytes) -> Reply {
+        let path = uri.path();
+        let call = match calls::parse_server_call(&method, path, &body) {
             Ok(call) => call,
             Err(e) => {
                 log::warn!("refused {method} {path}: {e}");
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -53,6 +53,7 @@
       profile       read and change profiles
       zone          take availability zones out and in
       status        show the control hosts and the configuration
+      explain       explain where a new flow would go
       report        report on error budgets
       load          call a service at a fixed rate
       certs         make certificates
@@ -81,6 +82,7 @@
 #[case(&["zone", "out"])]
 #[case(&["zone", "in"])]
 #[case(&["status"])]
+#[case(&["explain"])]
 #[case(&["report"])]
 #[case(&["report", "burn"])]
 #[case(&["load"])]
@@ -267,3 +269,39 @@
     assert!(answer.contains("f.yaml:1:1: missing key zone"), "{answer}");
     assert!(answer.ends_with("exit 1"), "{answer}");
 }
+
+/// Guards against an error that leaves open which node or which argument it is about. Nothing listens at port 1.
+#[test]
+fn explain_names_the_node_or_the_argument() {
+    let dir = folder();
+    let (to, from) = (["--to", "198.18.0.1:443"], ["--from", "100.64.0.7"]);
+    let nodes = ["--node", "127.0.0.1:1", "--node", "127.0.0.2:1"];
+    let explain = |args: &[&[&str]]| run(dir.path(), &[vec!["explain"], args.concat()].concat());
+    let answers = [
+        explain(&[&nodes, &to, &from]),
+        explain(&[&nodes, &to, &from, &["--json"]]),
+        explain(&[&to, &from]),
+        explain(&[&nodes, &["--to", "198.18.0.1"], &from]),
+        explain(&[&nodes, &to, &["--from", "caller"]]),
+        explain(&[&["--node", "host"], &to, &from]),
+        explain(&[&nodes, &to, &from, &["--zone", "No Zone"]]),
+    ];
+    assert_snapshot!(answers.join("\n"), @r#"
+    error: no node answers: 127.0.0.1:1: cannot connect: Connection refused (os error 111); 127.0.0.2:1: cannot connect: Connection refused (os error 111)
+    exit 1
+    {
+      "error": "no node answers: 127.0.0.1:1: cannot connect: Connection refused (os error 111); 127.0.0.2:1: cannot connect: Connection refused (os error 111)"
+    }
+    exit 1
+    error: missing required option `--node`; try dogwoodrill --help
+    exit 2
+    error: invalid argument to option `--to`: invalid IPv4 socket address syntax; try dogwoodrill --help
+    exit 2
+    error: invalid argument to option `--from`: invalid IPv4 socket address syntax; try dogwoodrill --help
+    exit 2
+    error: invalid argument to option `--node`: invalid IPv4 socket address syntax; try dogwoodrill --help
+    exit 2
+    error: invalid argument to option `--zone`: the name "No Zone" may hold only a-z, 0-9 and inner hyphens; try dogwoodrill --help
+    exit 2
+    "#);
+}
--- a/tests/testsuite/forwarded.rs
+++ b/tests/testsuite/forwarded.rs
@@ -1,7 +1,6 @@
 //! Forwarded flows with the real drivers on loopback addresses.
 
 use std::net::SocketAddrV4;
-use std::time::Duration;
 
 use dogwoodrill::forwarded::metrics::SocketCallCounters;
 use dogwoodrill::forwarded::packets::{BATCH_SIZE, Inbox, PacketSocket};
@@ -13,6 +12,7 @@
 use crate::support::HANG_GUARD;
 
 mod disks;
+mod explain;
 mod hosts;
 mod replacements;
 
@@ -174,15 +174,10 @@
     let (ports, data) = (free_ports(), temp_dirs::<3>());
     let (seeds, hosts) = bootstrap_cluster(5, ports, &data).await;
     put_document(&hosts.iter().collect::<Vec<_>>(), 2).await;
-    let (server, agent) = start_agent(5, 10, ports, &seeds).await;
-    let reports = tokio::spawn(async move {
-        for sequence in 1.. {
-            server.report(server_report(&server, sequence)).await;
-            sleep(Duration::from_millis(300)).await;
-        }
-    });
+    let (server, _, agent) = start_agent(5, 10, ports, &seeds).await;
+    let reports = keep_reporting(server);
     let balancer_ip = loopback_ip(5, 20);
-    let balancer = start_balancer(&cx(balancer_ip), balancer_ip, ports, &seeds).await;
+    let (_, balancer) = start_balancer(&cx(balancer_ip), balancer_ip, ports, &seeds).await;
 
     let caller_ip = loopback_ip(5, 30);
     let caller = UdpSocket::bind((caller_ip, ports.packets)).await.unwrap();
--- a/tests/testsuite/forwarded/hosts.rs
+++ b/tests/testsuite/forwarded/hosts.rs
@@ -13,6 +13,7 @@
 use dogwoodrill::forwarded::agent::{AgentNode, ServerHandle};
 use dogwoodrill::forwarded::balancer::BalancerNode;
 use dogwoodrill::forwarded::control::{ControlNode, ControlNodeError, node_id_from_ip};
+use dogwoodrill::forwarded::explain::ExplainHandle;
 use dogwoodrill::forwarded::journal::Journal;
 use dogwoodrill_consensus::store::file::OsFolder;
 use dogwoodrill_core::changes::Change;
@@ -387,7 +388,7 @@
     host: u8,
     ports: Ports,
     seeds: &[Ipv4Addr],
-) -> (ServerHandle, Running<std::io::Error>) {
+) -> (ServerHandle, ExplainHandle, Running<std::io::Error>) {
     let ip = loopback_ip(test, host);
     let server = UdpSocket::bind((ip, 0)).await.unwrap();
     let SocketAddr::V4(address) = server.local_addr().unwrap() else {
@@ -416,7 +417,7 @@
         Journal::start("test"),
     );
     let node = node.unwrap();
-    let handle = node.handle();
+    let (handle, explain) = (node.handle(), node.explain());
     let (tx, rx) = watch::channel(addresses(seeds));
     let token = CancellationToken::new();
     let task = tokio::spawn(node.run(rx, token.clone()));
@@ -425,7 +426,7 @@
         task,
         seeds: tx,
     };
-    (handle, running)
+    (handle, explain, running)
 }
 
 pub fn server_report(handle: &ServerHandle, sequence: u64) -> ServerStatement {
@@ -493,7 +494,7 @@
     ip: Ipv4Addr,
     ports: Ports,
     seeds: &[Ipv4Addr],
-) -> Running<std::io::Error> {
+) -> (ExplainHandle, Running<std::io::Error>) {
     let sockets = BalancerSockets {
         packets: SocketAddrV4::new(ip, ports.packets),
         ready: SocketAddrV4::new(ip, 0),
@@ -502,7 +503,7 @@
     let journal = Journal::start("test");
     let node = BalancerNode::bind(cx, &settings, sockets, PlatformPacketFormat, journal);
     let node = node.unwrap();
-    let mut ready = node.ready();
+    let (mut ready, explain) = (node.ready(), node.explain());
     let (tx, rx) = watch::channel(addresses(seeds));
     let token = CancellationToken::new();
     let task = tokio::spawn(node.run(rx, token.clone()));
@@ -510,11 +511,22 @@
         .await
         .unwrap()
         .unwrap();
-    Running {
+    let running = Running {
         token,
         task,
         seeds: tx,
-    }
+    };
+    (explain, running)
+}
+
+/// Lets the server of an agent report until the returned task is aborted.
+pub fn keep_reporting(server: ServerHandle) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        for sequence in 1.. {
+            server.report(server_report(&server, sequence)).await;
+            sleep(Duration::from_millis(300)).await;
+        }
+    })
 }
 
 /// Opens a flow through a balancer. The opening packet is retransmitted until it is answered.
--- a/tests/testsuite/monitor.rs
+++ b/tests/testsuite/monitor.rs
@@ -26,7 +26,7 @@
 use crate::support::{any_port, initial_config};
 
 /// Sends a GET request and returns the status line and body of the response.
-async fn get(address: SocketAddr, path: &str) -> (String, String) {
+pub async fn get(address: SocketAddr, path: &str) -> (String, String) {
     let mut stream = TcpStream::connect(address).await.unwrap();
     let req = format!("GET {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n");
     stream.write_all(req.as_bytes()).await.unwrap();
