--- a/crates/core/benches/forwarded.rs
+++ b/crates/core/benches/forwarded.rs
@@ -1,4 +1,4 @@
-//! Time of the balancer's decision about a packet of a forwarded flow, by the number of agents.
+//! Time of the balancer's decision about a packet of a forwarded flow, and of its explanation, by the number of agents.
 
 use std::hint::black_box;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -6,6 +6,7 @@
 
 use criterion::{BatchSize, BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
 use dogwoodrill_core::forwarded::balancer::Balancer;
+use dogwoodrill_core::forwarded::explain::Query;
 use dogwoodrill_core::forwarded::keepers::FlowLocation;
 use dogwoodrill_core::forwarded::mesh::Mesh;
 use dogwoodrill_core::forwarded::node::{NodeAddress, NodeRole};
@@ -91,6 +92,13 @@
         group.bench_function(BenchmarkId::new("cached", agents), |b| {
             b.iter(|| cached.on_packet(now, black_box(&data)));
         });
+        let query = Query {
+            flow: data.caller_flow(),
+            zone: None,
+        };
+        group.bench_function(BenchmarkId::new("explain", agents), |b| {
+            b.iter(|| cached.explain(now, black_box(&query)));
+        });
         group.throughput(Throughput::Elements(FLOWS.into()));
         for (name, flags) in [("unknown flows", Flags::ACK), ("openings", Flags::SYN)] {
             group.bench_function(BenchmarkId::new(name, agents), |b| {
--- a/crates/core/src/forwarded/placement.rs
+++ b/crates/core/src/forwarded/placement.rs
@@ -189,6 +189,7 @@
         second: 0,
         probability: 1.0,
     });
+    let each = 1.0 / (n as f64 * (n as f64 - 1.0));
     let firsts = (0..n).filter(|first| *first != 1);
     let pairs = firsts.flat_map(move |first| {
         let seconds = (1..n).filter(move |second| *second != first);
@@ -197,7 +198,7 @@
             Draw {
                 first,
                 second,
-                probability: weight / (n as f64 * (n as f64 - 1.0)),
+                probability: weight * each,
             }
         })
     });
@@ -223,15 +224,28 @@
         }
     };
     let report = |i: usize| &candidates[i].received.report;
-    let is_suspended = |i: &usize| report(*i).responses.is_suspended;
+    // All pairs are visited below, so what is known of each candidate is computed before.
+    let suspended: Vec<_> = (0..candidates.len())
+        .map(|i| report(i).responses.is_suspended)
+        .collect();
+    let is_suspended = |i: &usize| suspended[*i];
     let not_suspended: Vec<_> = (0..candidates.len()).filter(|i| !is_suspended(i)).collect();
     let local = not_suspended.iter().copied();
     let local: Vec<_> = local.filter(|i| report(*i).zone == *zone).collect();
-    let local_idle: Vec<_> = draws(local.len())
-        .map(|d| (earlier(local[d.first], local[d.second]), d.probability))
-        .filter(|(i, _)| load.has_idle_slot(candidates[*i].received))
+    let is_idle: Vec<_> = candidates
+        .iter()
+        .map(|c| load.has_idle_slot(c.received))
         .collect();
-    let no_local = 1.0 - local_idle.iter().map(|(_, p)| p).sum::<f64>();
+    let mut local_idle = vec![0.0; candidates.len()];
+    let mut no_local = 1.0;
+    for draw in draws(local.len()) {
+        let i = earlier(local[draw.first], local[draw.second]);
+        if is_idle[i] {
+            local_idle[i] += draw.probability;
+            no_local -= draw.probability;
+        }
+    }
+    // The sum of the probabilities of all pairs may exceed 1 by a rounding error.
     let no_local = no_local.max(0.0);
     let probe = match probe_policy {
         ProbePolicy::OnlyIfAllSuspended => 0.0,
@@ -254,8 +268,8 @@
             chosen[earlier(draw.first, draw.second)] += left * no_local;
         }
     }
-    for (i, probability) in local_idle {
-        chosen[i] += probability * to_local;
+    for (chosen, local) in chosen.iter_mut().zip(local_idle) {
+        *chosen += local * to_local;
     }
     for draw in draws(not_suspended.len()) {
         let i = earlier(not_suspended[draw.first], not_suspended[draw.second]);
