--- a/crates/core/src/forwarded/agent.rs
+++ b/crates/core/src/forwarded/agent.rs
@@ -10,10 +10,11 @@
 //! number that *this* server sent. A flow that may be open is never reset: the agent resets a flow only when
 //! it knows that the server incarnation which held it has ended.
 //!
-//! `agent/openings.rs` decides on opening packets, `agent/server_packets.rs` handles what the server sends, and
-//! `agent/requests.rs` tracks the requests at the server. `agent/location.rs` finds the agent of a packet whose
-//! flow is not here; `agent/search.rs` searches for a flow that no keeper knows. `agent/life.rs` handles starts
-//! and ends of the server.
+//! `agent/openings.rs` decides on opening packets, and `agent/slots.rs` on idle slots that are offered to and by peers.
+//! `agent/server_packets.rs` handles what the server sends, `agent/requests.rs` tracks the requests at the server, and
+//! `agent/running.rs` when each has started. `agent/location.rs` finds the agent of a packet whose flow is not here;
+//! `agent/search.rs` searches for a flow that no keeper knows. `agent/life.rs` handles starts and ends of the server,
+//! and `agent/explain.rs` explains decisions without making them.
 
 use std::collections::{HashMap, VecDeque};
 use std::net::Ipv4Addr;
@@ -50,6 +51,7 @@
 mod running;
 mod search;
 mod server_packets;
+mod slots;
 
 pub use action::{Action, Disposition};
 use flow::{BouncedFlow, Flow, IDLE_TTL, OPENING_TTL, RequestState};
