--- /dev/null
+++ b/review/standin-2/cases.rs
@@ -0,0 +1,199 @@
+//! The cases. Each returns the exit code of its script.
+
+use std::net::SocketAddrV4;
+use std::thread::sleep;
+use std::time::Instant;
+
+use crate::lab::{Caller, Class, Config, Flow, Lab, Operator, Outcome, Record, Server, ServerOptions, Terms, ZONES, ms, route};
+
+const RULE_BROKEN: i32 = 1;
+const HELD: i32 = 0;
+const NOT_RUN: i32 = 2;
+
+/// Three control hosts, `fronts` balancers, and an agent with a server for each of `services`.
+fn deployment(record: &Record, terms: Terms, fronts: u8, services: &[&'static str]) -> Lab {
+    let mut lab = Lab::new(record.clone(), terms);
+    for n in 0..3_u8 {
+        lab.add(Class::Core, 10 + n, ZONES[usize::from(n)], "");
+    }
+    for n in 0..fronts {
+        lab.add(Class::Front, 30 + n, ZONES[usize::from(n) % 3], "");
+    }
+    for (n, service) in services.iter().enumerate() {
+        lab.add(Class::Side, 50 + n as u8, ZONES[n % 3], service);
+    }
+    lab.start_all();
+    lab
+}
+
+fn fronts(lab: &Lab) -> Vec<SocketAddrV4> {
+    lab.of(Class::Front).iter().map(|i| SocketAddrV4::new(lab.hosts[*i].ip, lab.ports.datagram)).collect()
+}
+
+fn server(lab: &Lab, at: usize, first_sequence: u64) -> Server {
+    let host = &lab.hosts[at];
+    Server::start(lab, at, ServerOptions { id: format!("i-{}", host.name), service: host.service, first_sequence, work: ms(15) })
+}
+
+fn wait_for(limit: std::time::Duration, done: impl Fn() -> bool) -> bool {
+    let until = Instant::now() + limit;
+    while Instant::now() < until {
+        if done() {
+            return true;
+        }
+        sleep(ms(20));
+    }
+    false
+}
+
+/// Opens a flow, trying again as a client does whose flow never opened.
+fn open(caller: &mut Caller, via: SocketAddrV4, port: u16) -> Option<Flow> {
+    (0..20).find_map(|_| {
+        let opened = caller.open(via, route(port)).ok();
+        if opened.is_none() {
+            sleep(ms(200));
+        }
+        opened
+    })
+}
+
+/// FLOW: a flow that is idle for less than the `idle_timeout_ms` in force is reset.
+pub fn idle_flow(record: &Record, trouble: bool) -> i32 {
+    let mut lab = deployment(record, Terms::default(), 2, &["orders", "orders", "orders"]);
+    let operator = Operator::of(&lab);
+    let config = |version, idle_timeout_ms| Config {
+        version, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms, padding: 0,
+    }.body();
+    if operator.order("PUT", "/config", &config(3, 15_000), ms(10_000)) != Some(200) {
+        return NOT_RUN;
+    }
+    let servers: Vec<_> = lab.of(Class::Side).iter().map(|at| server(&lab, *at, 1)).collect();
+    if !wait_for(ms(10_000), || servers.iter().all(Server::is_acknowledged)) || !lab.wait_ready(ms(10_000)) {
+        return NOT_RUN;
+    }
+    let idle_timeout_ms = if trouble { 50_000 } else { 15_000 };
+    if trouble && operator.order("PUT", "/config", &config(7, idle_timeout_ms), ms(10_000)) != Some(200) {
+        return NOT_RUN;
+    }
+    // Longer than `config_apply_ms` and `stability_window_ms`: the new version is in force on all hosts.
+    sleep(ms(5_000));
+    let via = fronts(&lab);
+    let mut caller = Caller::new(&lab, 200);
+    let mut flows = Vec::new();
+    for n in 0..12 {
+        let Some(mut flow) = open(&mut caller, via[n % 2], 443) else { return NOT_RUN };
+        if !matches!(flow.request(via[n % 2], "POST /first", ms(4_000)), Outcome::Answer(_)) {
+            return NOT_RUN;
+        }
+        flows.push((Instant::now(), flow));
+    }
+    // Longer than 30 s, shorter than the 50 s that the configuration allows and the 60 s of `max_flow_s`.
+    let mut broken = 0;
+    for (n, (last, flow)) in flows.iter_mut().enumerate() {
+        sleep((*last + ms(34_000)).saturating_duration_since(Instant::now()));
+        let idle = last.elapsed();
+        let outcome = flow.request(via[n % 2], "POST /second", ms(4_000));
+        let is_excused = idle.as_millis() > u128::from(idle_timeout_ms);
+        if outcome == Outcome::Reset && !is_excused {
+            broken += 1;
+        }
+        record.line(format!("flow {n}: idle for {:.1} s, idle_timeout_ms {idle_timeout_ms}: {outcome:?}{}", idle.as_secs_f64(), if is_excused { ", excused" } else { "" }));
+    }
+    let ended = lab.ended();
+    record.line(format!("flows broken: {broken} of {}; programs that ended: {ended:?}", flows.len()));
+    for mut s in servers {
+        s.crash();
+    }
+    lab.end();
+    if broken > 0 { RULE_BROKEN } else { HELD }
+}
+
+/// Exploration: many large configurations while one control host at a time is killed, frozen or loses its disk.
+pub fn explore_control(record: &Record, trouble: bool) -> i32 {
+    use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+    use std::sync::{Arc, Mutex};
+    let mut lab = deployment(record, Terms::default(), 1, &["orders"]);
+    let padding = std::env::var("PADDING").ok().and_then(|p| p.parse().ok()).unwrap_or(1000);
+    let acked = Arc::new(Mutex::new(Vec::<(Instant, u64)>::new()));
+    let stop = Arc::new(AtomicBool::new(false));
+    let stale = Arc::new(AtomicU64::new(0));
+    let hosts = Operator::of(&lab).hosts;
+    let mut threads = Vec::new();
+    for w in 0..2_u64 {
+        let (acked, stop, record, hosts) = (acked.clone(), stop.clone(), record.clone(), hosts.clone());
+        threads.push(std::thread::spawn(move || {
+            let operator = Operator { record: record.clone(), hosts };
+            let mut version = 10 + w;
+            while !stop.load(Ordering::Relaxed) {
+                version += 2;
+                let body = Config { version, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms: 15_000, padding }.body();
+                match operator.order("PUT", "/config", &body, ms(30_000)) {
+                    Some(200) => acked.lock().unwrap().push((Instant::now(), version)),
+                    other => record.line(format!("PROBLEM: version {version}: {other:?}")),
+                }
+                sleep(ms(100));
+            }
+        }));
+    }
+    for host in hosts.clone() {
+        let (acked, stop, record, stale) = (acked.clone(), stop.clone(), record.clone(), stale.clone());
+        threads.push(std::thread::spawn(move || {
+            let operator = Operator { record: record.clone(), hosts: vec![host] };
+            while !stop.load(Ordering::Relaxed) {
+                let newest = acked.lock().unwrap().iter().map(|a| a.1).max();
+                if let Some((200, body)) = operator.call_at(host, "GET", "/config", b"") {
+                    let text = String::from_utf8_lossy(&body[..40.min(body.len())]).into_owned();
+                    let version: u64 = text.split(&[':', ','][..]).nth(1).and_then(|v| v.parse().ok()).unwrap_or(0);
+                    if newest.is_some_and(|n| version < n) {
+                        stale.fetch_add(1, Ordering::Relaxed);
+                        record.line(format!("PROBLEM: read {version} at {host}, acknowledged before: {newest:?}"));
+                    }
+                }
+                sleep(ms(150));
+            }
+        }));
+    }
+    sleep(ms(4000));
+    let mut random = crate::lab::Random::new();
+    let core = lab.of(Class::Core);
+    let until = Instant::now() + ms(if trouble { 80_000 } else { 10_000 });
+    while trouble && Instant::now() < until {
+        let at = core[random.below(3) as usize];
+        match random.below(4) {
+            0 => { lab.kill(at); sleep(ms(200 + random.below(2500))); lab.start(at, false); }
+            1 => { lab.signal(at, crate::lab::SIGSTOP); sleep(ms(500 + random.below(4000))); lab.signal(at, crate::lab::SIGCONT); }
+            2 => {
+                lab.kill(at);
+                let folder = lab.data_dir(&lab.hosts[at]);
+                let _ = std::fs::remove_dir_all(folder);
+                sleep(ms(200 + random.below(2500)));
+                record.line("disk lost");
+                lab.start(at, false);
+            }
+            _ => {
+                for at in &core { lab.kill(*at); }
+                sleep(ms(300 + random.below(600)));
+                for at in &core { lab.start(*at, false); }
+            }
+        }
+        sleep(ms(4200 + random.below(1500)));
+    }
+    sleep(ms(2000));
+    stop.store(true, Ordering::Relaxed);
+    for t in threads { let _ = t.join(); }
+    let newest = acked.lock().unwrap().iter().map(|a| a.1).max().unwrap_or(0);
+    let operator = Operator::of(&lab);
+    let mut read = 0;
+    for _ in 0..50 {
+        if let Some((200, body)) = operator.call_at(operator.hosts[0], "GET", "/config", b"") {
+            let text = String::from_utf8_lossy(&body[..40]).into_owned();
+            read = text.split(&[':', ','][..]).nth(1).and_then(|v| v.parse().ok()).unwrap_or(0);
+            break;
+        }
+        sleep(ms(200));
+    }
+    let ended = lab.ended();
+    record.line(format!("acknowledged {} versions, newest {newest}, read back {read}, stale reads {}, ended {ended:?}", acked.lock().unwrap().len(), stale.load(Ordering::Relaxed)));
+    lab.end();
+    i32::from(read < newest || stale.load(Ordering::Relaxed) > 0 || !ended.is_empty())
+}
