--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -35,6 +35,10 @@
     Server::start(lab, at, ServerOptions { id: format!("i-{}", host.name), service: host.service, first_sequence, work: ms(15) })
 }
 
+fn server_named(lab: &Lab, at: usize, first_sequence: u64, id: &str) -> Server {
+    Server::start(lab, at, ServerOptions { id: id.to_owned(), service: lab.hosts[at].service, first_sequence, work: ms(15) })
+}
+
 fn wait_for(limit: std::time::Duration, done: impl Fn() -> bool) -> bool {
     let until = Instant::now() + limit;
     while Instant::now() < until {
@@ -197,3 +201,138 @@
     lab.end();
     i32::from(read < newest || stale.load(Ordering::Relaxed) > 0 || !ended.is_empty())
 }
+
+/// The agents' servers of one service, with flows that have been answered once.
+struct OpenFlows {
+    caller: Caller,
+    flows: Vec<(Instant, Flow)>,
+}
+
+/// Opens flows until `count` of them are open at `server`, and sends one request on each.
+fn open_at(lab: &Lab, server: &Server, count: usize) -> Option<OpenFlows> {
+    let via = fronts(lab);
+    let mut caller = Caller::new(lab, 200);
+    let mut flows = Vec::new();
+    for n in 0..200 {
+        let mut flow = open(&mut caller, via[n % via.len()], 443)?;
+        if !matches!(flow.request(via[n % via.len()], "POST /first", ms(4_000)), Outcome::Answer(_)) {
+            return None;
+        }
+        if server.opened.lock().unwrap().iter().any(|o| o.1 == flow.own) {
+            flows.push((Instant::now(), flow));
+        }
+        if flows.len() >= count {
+            return Some(OpenFlows { caller, flows });
+        }
+    }
+    None
+}
+
+/// Sends a second request on each flow. Returns the number of flows that the system has reset.
+fn second_requests(record: &Record, lab: &Lab, open: &mut OpenFlows) -> usize {
+    let via = fronts(lab);
+    let mut broken = 0;
+    for (n, (last, flow)) in open.flows.iter_mut().enumerate() {
+        let idle = last.elapsed();
+        let outcome = flow.request(via[(n + 1) % via.len()], "POST /second", ms(2_000));
+        broken += usize::from(outcome == Outcome::Reset);
+        record.line(format!("flow {n} from {}: idle for {:.1} s: {outcome:?}", flow.own, idle.as_secs_f64()));
+    }
+    broken
+}
+
+/// FLOW: a delayed report of a crashed boot arrives after its agent has been restarted, beside the next boot.
+pub fn late_report(record: &Record, trouble: bool) -> i32 {
+    let mut lab = deployment(record, Terms::default(), 2, &["orders", "orders", "orders"]);
+    let operator = Operator::of(&lab);
+    let config = Config { version: 3, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms: 15_000, padding: 0 }.body();
+    if operator.order("PUT", "/config", &config, ms(10_000)) != Some(200) {
+        return NOT_RUN;
+    }
+    let sides = lab.of(Class::Side);
+    let mut first = server_named(&lab, sides[0], 1, "i-first");
+    let mut others: Vec<_> = sides[1..].iter().map(|at| server(&lab, *at, 1)).collect();
+    if !wait_for(ms(10_000), || first.is_acknowledged() && others.iter().all(Server::is_acknowledged)) || !lab.wait_ready(ms(10_000)) {
+        return NOT_RUN;
+    }
+    sleep(ms(2_500));
+    // The first boot's last report is held up on its way; then the boot crashes.
+    let delayed = first.next_report(&lab, sides[0]);
+    first.crash();
+    record.line("server i-first crashed; its last report is held up");
+    sleep(ms(2_500));
+    let second = server_named(&lab, sides[0], 1, "i-second");
+    if !wait_for(ms(10_000), || second.is_acknowledged()) {
+        return NOT_RUN;
+    }
+    sleep(ms(4_000));
+    let Some(mut open) = open_at(&lab, &second, 10) else { return NOT_RUN };
+    let part = std::env::var("PART").unwrap_or_default();
+    if trouble || part == "restart" {
+        lab.signal(sides[0], crate::lab::SIGTERM);
+        if !lab.wait(sides[0], ms(6_000)) {
+            return NOT_RUN;
+        }
+        sleep(ms(600));
+        lab.start(sides[0], false);
+    }
+    if trouble {
+        let to = SocketAddrV4::new(lab.hosts[sides[0]].ip, lab.ports.control);
+        let until = Instant::now() + ms(3_000);
+        let status = loop {
+            let answer = crate::lab::http(to, "PUT", "/instances/i-first", delayed.as_bytes(), ms(1_000));
+            if answer.is_some() || Instant::now() > until {
+                break answer.map(|a| a.0);
+            }
+            sleep(ms(2));
+        };
+        record.line(format!("the delayed report of i-first arrives: {status:?}"));
+    }
+    sleep(ms(6_000));
+    let broken = second_requests(record, &lab, &mut open);
+    let ended = lab.ended();
+    record.line(format!("flows broken: {broken} of {}; programs that ended: {ended:?}", open.flows.len()));
+    drop(open.caller);
+    others.push(second);
+    for s in &mut others {
+        s.crash();
+    }
+    lab.end();
+    if broken > 0 { RULE_BROKEN } else { HELD }
+}
+
+/// FLOW: an agent is killed and restarted between the first two reports of a server that counts them from 0.
+pub fn young_server(record: &Record, trouble: bool) -> i32 {
+    let mut lab = deployment(record, Terms::default(), 2, &["orders", "orders", "orders"]);
+    let operator = Operator::of(&lab);
+    let config = Config { version: 3, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms: 15_000, padding: 0 }.body();
+    if operator.order("PUT", "/config", &config, ms(10_000)) != Some(200) {
+        return NOT_RUN;
+    }
+    let sides = lab.of(Class::Side);
+    let mut others: Vec<_> = sides[1..].iter().map(|at| server(&lab, *at, 0)).collect();
+    if !wait_for(ms(10_000), || others.iter().all(Server::is_acknowledged)) || !lab.wait_ready(ms(10_000)) {
+        return NOT_RUN;
+    }
+    sleep(ms(5_000));
+    let young = server(&lab, sides[0], 0);
+    if !wait_for(ms(2_000), || young.is_acknowledged()) {
+        return NOT_RUN;
+    }
+    sleep(ms(50));
+    let Some(mut open) = open_at(&lab, &young, 4) else { return NOT_RUN };
+    if trouble {
+        lab.kill(sides[0]);
+        sleep(ms(100));
+        lab.start(sides[0], false);
+    }
+    sleep(ms(7_000));
+    let broken = second_requests(record, &lab, &mut open);
+    record.line(format!("flows broken: {broken} of {}; reports {:?}", open.flows.len(), young.reports.lock().unwrap().iter().take(4).map(|r| (r.1, r.2)).collect::<Vec<_>>()));
+    others.push(young);
+    for s in &mut others {
+        s.crash();
+    }
+    lab.end();
+    if broken > 0 { RULE_BROKEN } else { HELD }
+}
--- a/review/standin-2/lab.rs
+++ b/review/standin-2/lab.rs
@@ -492,6 +492,7 @@
     pub sequence: Arc<AtomicU64>,
     pub draining: Arc<AtomicBool>,
     pub opened: Arc<Mutex<Vec<(Instant, SocketAddrV4)>>>,
+    born: u128,
     threads: Vec<thread::JoinHandle<()>>,
 }
 
@@ -518,6 +519,7 @@
         let health = TcpListener::bind(app).expect("the server's port is free");
         lab.record.line(format!("server {} ({}) starts at {app}", options.id, options.service));
         let mut threads = Vec::new();
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
         {
             let (stop, record, options) = (stop.clone(), lab.record.clone(), options.clone());
             let (runs, opened) = (runs.clone(), opened.clone());
@@ -548,7 +550,6 @@
             let (stop, record, options, sequence) = (stop.clone(), lab.record.clone(), options.clone(), sequence.clone());
             let (reports, draining) = (reports.clone(), draining.clone());
             let beat = ms(lab.terms.heartbeat_ms);
-            let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
             threads.push(thread::spawn(move || {
                 let mut due = Instant::now();
                 while !stop.load(Ordering::Relaxed) {
@@ -559,10 +560,7 @@
                     due += beat;
                     let number = sequence.fetch_add(1, Ordering::Relaxed);
                     let state = if draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
-                    let body = format!(
-                        "{{\"service\":\"{}\",\"address\":\"{app}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"max_concurrent\":2,\"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":{number},\"born\":{born}}}",
-                        options.service
-                    );
+                    let body = report_body(options.service, app, zone, state, number, born);
                     let answer = http(SocketAddrV4::new(ip, ports.control), "PUT", &format!("/instances/{}", options.id), body.as_bytes(), ms(1000));
                     let status = answer.map(|a| a.0);
                     reports.lock().unwrap().push((Instant::now(), number, status == Some(200)));
@@ -570,7 +568,7 @@
                 }
             }));
         }
-        Self { id: options.id, runs, reports, stop, sequence, draining, opened, threads }
+        Self { id: options.id, runs, reports, stop, sequence, draining, opened, born, threads }
     }
 
     /// Ends the server as a crash does: without a word.
@@ -581,11 +579,24 @@
         }
     }
 
+    /// The body of the server's next report, which the caller sends later.
+    pub fn next_report(&self, lab: &Lab, at: usize) -> String {
+        let host = &lab.hosts[at];
+        let number = self.sequence.fetch_add(1, Ordering::Relaxed);
+        report_body(host.service, SocketAddrV4::new(host.ip, lab.ports.app), host.zone, "ready", number, self.born)
+    }
+
     pub fn is_acknowledged(&self) -> bool {
         self.reports.lock().unwrap().iter().any(|r| r.2)
     }
 }
 
+fn report_body(service: &str, app: SocketAddrV4, zone: &str, state: &str, sequence: u64, born: u128) -> String {
+    format!(
+        "{{\"service\":\"{service}\",\"address\":\"{app}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"max_concurrent\":2,\"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{born}}}"
+    )
+}
+
 fn request_end(data: &[u8]) -> Option<usize> {
     data.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4)
 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -18,6 +18,8 @@
     record.line(format!("case {case}, trouble {trouble}"));
     let code = match case.as_str() {
         "idle-flow" => cases::idle_flow(&record, trouble),
+        "late-report" => cases::late_report(&record, trouble),
+        "young-server" => cases::young_server(&record, trouble),
         "explore-control" => cases::explore_control(&record, trouble),
         other => {
             eprintln!("no case {other}");
