--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -32,11 +32,11 @@
 
 fn server(lab: &Lab, at: usize, first_sequence: u64) -> Server {
     let host = &lab.hosts[at];
-    Server::start(lab, at, ServerOptions { id: format!("i-{}", host.name), service: host.service, first_sequence, work: ms(15) })
+    Server::start(lab, at, ServerOptions { id: format!("i-{}", host.name), service: host.service, first_sequence, work: ms(15), backs_off: false })
 }
 
 fn server_named(lab: &Lab, at: usize, first_sequence: u64, id: &str) -> Server {
-    Server::start(lab, at, ServerOptions { id: id.to_owned(), service: lab.hosts[at].service, first_sequence, work: ms(15) })
+    Server::start(lab, at, ServerOptions { id: id.to_owned(), service: lab.hosts[at].service, first_sequence, work: ms(15), backs_off: false })
 }
 
 fn wait_for(limit: std::time::Duration, done: impl Fn() -> bool) -> bool {
@@ -116,7 +116,15 @@
 pub fn explore_control(record: &Record, trouble: bool) -> i32 {
     use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
     use std::sync::{Arc, Mutex};
-    let mut lab = deployment(record, Terms::default(), 1, &["orders"]);
+    let cores: u8 = std::env::var("CORES").ok().and_then(|p| p.parse().ok()).unwrap_or(3);
+    let lost_at_once = usize::from(cores / 2);
+    let mut lab = Lab::new(record.clone(), Terms { tolerated: lost_at_once, ..Terms::default() });
+    for n in 0..cores {
+        lab.add(Class::Core, 10 + n, ZONES[usize::from(n) % 3], "");
+    }
+    lab.add(Class::Front, 30, ZONES[0], "");
+    lab.start_all();
+    if cores > 3 { sleep(ms(8_000)); }
     let padding = std::env::var("PADDING").ok().and_then(|p| p.parse().ok()).unwrap_or(1000);
     let acked = Arc::new(Mutex::new(Vec::<(Instant, u64)>::new()));
     let stop = Arc::new(AtomicBool::new(false));
@@ -162,17 +170,25 @@
     let core = lab.of(Class::Core);
     let until = Instant::now() + ms(if trouble { 80_000 } else { 10_000 });
     while trouble && Instant::now() < until {
-        let at = core[random.below(3) as usize];
+        let first = random.below(u64::from(cores)) as usize;
+        let hit: Vec<usize> = (0..1 + random.below(lost_at_once as u64) as usize).map(|n| core[(first + n) % core.len()]).collect();
         match random.below(4) {
-            0 => { lab.kill(at); sleep(ms(200 + random.below(2500))); lab.start(at, false); }
-            1 => { lab.signal(at, crate::lab::SIGSTOP); sleep(ms(500 + random.below(4000))); lab.signal(at, crate::lab::SIGCONT); }
+            0 => {
+                for at in &hit { lab.kill(*at); }
+                for at in &hit { sleep(ms(200 + random.below(2500))); lab.start(*at, false); }
+            }
+            1 => {
+                for at in &hit { lab.signal(*at, crate::lab::SIGSTOP); }
+                for at in &hit { sleep(ms(500 + random.below(4000))); lab.signal(*at, crate::lab::SIGCONT); }
+            }
             2 => {
-                lab.kill(at);
-                let folder = lab.data_dir(&lab.hosts[at]);
-                let _ = std::fs::remove_dir_all(folder);
-                sleep(ms(200 + random.below(2500)));
-                record.line("disk lost");
-                lab.start(at, false);
+                for at in &hit {
+                    lab.kill(*at);
+                    let folder = lab.data_dir(&lab.hosts[*at]);
+                    let _ = std::fs::remove_dir_all(folder);
+                    record.line("disk lost");
+                }
+                for at in &hit { sleep(ms(200 + random.below(2500))); lab.start(*at, false); }
             }
             _ => {
                 for at in &core { lab.kill(*at); }
@@ -180,7 +196,7 @@
                 for at in &core { lab.start(*at, false); }
             }
         }
-        sleep(ms(4200 + random.below(1500)));
+        sleep(ms(6100 + random.below(1500)));
     }
     sleep(ms(2000));
     stop.store(true, Ordering::Relaxed);
@@ -336,3 +352,134 @@
     lab.end();
     if broken > 0 { RULE_BROKEN } else { HELD }
 }
+
+/// Exploration: flows with long pauses while agents and balancers are restarted in turn. No server ends.
+pub fn explore_roll(record: &Record, trouble: bool) -> i32 {
+    use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+    use std::sync::{Arc, Mutex};
+    let is = |name: &str| std::env::var_os(name).is_some();
+    let mut lab = deployment(record, Terms::default(), 3, &["orders"; 5]);
+    let operator = Operator::of(&lab);
+    let config = Config { version: 3, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms: 15_000, padding: 0 }.body();
+    if operator.order("PUT", "/config", &config, ms(10_000)) != Some(200) {
+        return NOT_RUN;
+    }
+    let sides = lab.of(Class::Side);
+    let mut servers: Vec<_> = sides.iter().map(|at| Server::start(&lab, *at, ServerOptions {
+        id: format!("i-{}", lab.hosts[*at].name), service: "orders", first_sequence: 1, work: ms(5), backs_off: is("BACKOFF"),
+    })).collect();
+    if !wait_for(ms(10_000), || servers.iter().all(Server::is_acknowledged)) || !lab.wait_ready(ms(10_000)) {
+        return NOT_RUN;
+    }
+    sleep(ms(4_000));
+    let via = fronts(&lab);
+    let rotation = Arc::new(Mutex::new(via.clone()));
+    let stop = Arc::new(AtomicBool::new(false));
+    let counts: Arc<[AtomicUsize; 4]> = Arc::default();
+    let threads: Vec<_> = (0..50_u8).map(|n| {
+        let mut caller = Caller::new(&lab, 150 + n);
+        let (rotation, stop, counts, record) = (rotation.clone(), stop.clone(), counts.clone(), record.clone());
+        std::thread::spawn(move || {
+            let mut random = crate::lab::Random::new();
+            for _ in 0..n { random.next(); }
+            let pick = |port: u16| { let r = rotation.lock().unwrap(); r[usize::from(port) % r.len()] };
+            while !stop.load(Ordering::Relaxed) {
+                let Ok(mut flow) = caller.open(pick(n.into()), route(443)) else { sleep(ms(300)); continue };
+                let opened = Instant::now();
+                while opened.elapsed() < ms(40_000) && !stop.load(Ordering::Relaxed) {
+                    let outcome = flow.request(pick(flow.own.port()), "GET /x", ms(4_000));
+                    let which = match outcome { Outcome::Answer(_) => 0, Outcome::Reset => 1, Outcome::ServerReset => 2, Outcome::Silence => 3 };
+                    counts[which].fetch_add(1, Ordering::Relaxed);
+                    if which != 0 {
+                        record.line(format!("PROBLEM: {outcome:?} on {} after {:?}", flow.own, opened.elapsed()));
+                        break;
+                    }
+                    sleep(ms(300 + random.below(13_500)));
+                }
+            }
+        })
+    }).collect();
+    sleep(ms(8_000));
+    let mut random = crate::lab::Random::new();
+    let front = lab.of(Class::Front);
+    let until = Instant::now() + ms(if trouble { 80_000 } else { 5_000 });
+    while trouble && Instant::now() < until {
+        if is("KILL") {
+            let from = random.below(5) as usize;
+            let hit: Vec<_> = (0..3).map(|n| sides[(from + n) % 5]).collect();
+            let balancer = front[random.below(3) as usize];
+            for at in hit.iter().chain([&balancer]) { lab.kill(*at); }
+            sleep(ms(200 + random.below(2_500)));
+            for at in hit.iter().chain([&balancer]) { lab.start(*at, false); }
+            sleep(ms(7_000 + random.below(3_000)));
+            continue;
+        }
+        for at in sides.clone() {
+            lab.signal(at, crate::lab::SIGTERM);
+            lab.wait(at, ms(6_000));
+            sleep(ms(600));
+            lab.start(at, false);
+            sleep(ms(200));
+        }
+        for at in front.clone() {
+            let address = SocketAddrV4::new(lab.hosts[at].ip, lab.ports.datagram);
+            lab.signal(at, crate::lab::SIGTERM);
+            sleep(ms(1_000));
+            rotation.lock().unwrap().retain(|a| *a != address);
+            lab.wait(at, ms(6_000));
+            sleep(ms(300));
+            lab.start(at, false);
+            sleep(ms(1_200));
+            rotation.lock().unwrap().push(address);
+            rotation.lock().unwrap().sort();
+        }
+    }
+    sleep(ms(3_000));
+    stop.store(true, Ordering::Relaxed);
+    for t in threads { let _ = t.join(); }
+    record.line(format!("answers, resets, server resets, silences: {counts:?}; ended {:?}", lab.ended()));
+    for s in &mut servers { s.crash(); }
+    lab.end();
+    i32::from(counts[1].load(Ordering::Relaxed) > 0)
+}
+
+/// FLOW: a report of another writer lacks a field, and ends the flows of the server beside the agent.
+pub fn foreign_report(record: &Record, trouble: bool) -> i32 {
+    let mut lab = deployment(record, Terms::default(), 2, &["orders", "orders", "orders"]);
+    let operator = Operator::of(&lab);
+    let config = Config { version: 3, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms: 15_000, padding: 0 }.body();
+    if operator.order("PUT", "/config", &config, ms(10_000)) != Some(200) {
+        return NOT_RUN;
+    }
+    let sides = lab.of(Class::Side);
+    let mut servers: Vec<_> = sides.iter().map(|at| server(&lab, *at, 1)).collect();
+    if !wait_for(ms(10_000), || servers.iter().all(Server::is_acknowledged)) || !lab.wait_ready(ms(10_000)) {
+        return NOT_RUN;
+    }
+    sleep(ms(5_000));
+    let Some(mut open) = open_at(&lab, &servers[0], 10) else { return NOT_RUN };
+    sleep(ms(3_000));
+    if trouble {
+        let host = &lab.hosts[sides[0]];
+        let body = foreign_body(host.service, SocketAddrV4::new(host.ip, lab.ports.app), host.zone);
+        let to = SocketAddrV4::new(host.ip, lab.ports.control);
+        let status = crate::lab::http(to, "PUT", "/instances/i-other", body.as_bytes(), ms(1_000)).map(|a| a.0);
+        record.line(format!("a report of another writer without the field version, answered {status:?}: {body}"));
+    }
+    sleep(ms(1_000));
+    let broken = second_requests(record, &lab, &mut open);
+    record.line(format!("flows broken: {broken} of {}", open.flows.len()));
+    for s in &mut servers {
+        s.crash();
+    }
+    lab.end();
+    if broken > 0 { RULE_BROKEN } else { HELD }
+}
+
+/// A report that has every field but `version`.
+fn foreign_body(service: &str, address: SocketAddrV4, zone: &str) -> String {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default().as_millis();
+    format!(
+        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"max_concurrent\":2,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":{now}}}"
+    )
+}
--- a/review/standin-2/lab.rs
+++ b/review/standin-2/lab.rs
@@ -502,6 +502,8 @@
     pub service: &'static str,
     pub first_sequence: u64,
     pub work: Duration,
+    /// Whether the pause after failed reports increases.
+    pub backs_off: bool,
 }
 
 impl Server {
@@ -552,17 +554,22 @@
             let beat = ms(lab.terms.heartbeat_ms);
             threads.push(thread::spawn(move || {
                 let mut due = Instant::now();
+                let mut failed = 0_u32;
                 while !stop.load(Ordering::Relaxed) {
                     if Instant::now() < due {
                         sleep(ms(5));
                         continue;
                     }
-                    due += beat;
+                    due = due.max(Instant::now() - beat) + beat;
                     let number = sequence.fetch_add(1, Ordering::Relaxed);
                     let state = if draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
                     let body = report_body(options.service, app, zone, state, number, born);
                     let answer = http(SocketAddrV4::new(ip, ports.control), "PUT", &format!("/instances/{}", options.id), body.as_bytes(), ms(1000));
                     let status = answer.map(|a| a.0);
+                    failed = if status == Some(200) { 0 } else { (failed + 1).min(3) };
+                    if options.backs_off && failed > 0 {
+                        due = Instant::now() + beat * 2_u32.pow(failed);
+                    }
                     reports.lock().unwrap().push((Instant::now(), number, status == Some(200)));
                     record.line(format!("server {}: report {number} {state}: {status:?}", options.id));
                 }
