--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -483,3 +483,246 @@
         "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"max_concurrent\":2,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":{now}}}"
     )
 }
+
+/// Exploration: the control hosts of a core of five are killed, frozen, wiped and replaced, two at a time at most; then
+/// two disks are lost while all other hosts are killed.
+pub fn explore_core(record: &Record, _trouble: bool) -> i32 {
+    use std::sync::atomic::{AtomicBool, Ordering};
+    use std::sync::{Arc, Mutex};
+    const TOLERATED: usize = 2;
+    let catch_up = ms(4_000);
+    let mut lab = Lab::new(record.clone(), Terms { tolerated: TOLERATED, ..Terms::default() });
+    for n in 0..5 {
+        lab.add(Class::Core, 10 + n, ZONES[usize::from(n) % 3], "");
+    }
+    lab.start_all();
+    let mut slots: Vec<usize> = lab.of(Class::Core);
+    let all = Arc::new(Mutex::new(Operator::of(&lab).hosts));
+    sleep(ms(9_000));
+    let acked = Arc::new(Mutex::new(0_u64));
+    let stop = Arc::new(AtomicBool::new(false));
+    let writer = {
+        let (acked, stop, record, all) = (acked.clone(), stop.clone(), record.clone(), all.clone());
+        std::thread::spawn(move || {
+            let mut version = 10;
+            let mut slowest = ms(0);
+            while !stop.load(Ordering::Relaxed) {
+                version += 1;
+                let body = Config { version, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms: 15_000, padding: 20 }.body();
+                let began = Instant::now();
+                let mut n = version as usize;
+                while !stop.load(Ordering::Relaxed) {
+                    let hosts = all.lock().unwrap().clone();
+                    let operator = Operator { record: record.clone(), hosts: vec![hosts[n % hosts.len()]] };
+                    n += 1;
+                    if operator.call_at(operator.hosts[0], "PUT", "/config", &body).is_some_and(|a| a.0 == 200) {
+                        *acked.lock().unwrap() = version;
+                        if began.elapsed() > slowest { slowest = began.elapsed(); record.line(format!("slowest ack so far: version {version} {slowest:?}")); }
+                        break;
+                    }
+                    sleep(ms(50));
+                }
+                sleep(ms(150));
+            }
+        })
+    };
+    let mut random = crate::lab::Random::new();
+    for _ in 0..40 { random.next(); }
+    let mut lost_until = vec![Instant::now(); 5];
+    // What is due later: when, slot, what.
+    let mut due: Vec<(Instant, usize, u8)> = Vec::new();
+    let mut next_number = 20;
+    let until = Instant::now() + ms(50_000);
+    let far = Instant::now() + ms(600_000);
+    let publish = |lab: &Lab, slots: &[usize]| {
+        *all.lock().unwrap() = slots.iter().map(|at| SocketAddrV4::new(lab.hosts[*at].ip, lab.ports.control)).collect();
+    };
+    loop {
+        let now = Instant::now();
+        let (ready, later): (Vec<_>, Vec<_>) = due.into_iter().partition(|d| d.0 <= now);
+        due = later;
+        for (_, slot, what) in ready {
+            match what {
+                0 => { lab.start(slots[slot], false); lost_until[slot] = now + catch_up; }
+                1 => { lab.signal(slots[slot], crate::lab::SIGCONT); lost_until[slot] = now + catch_up; }
+                2 | 3 => {
+                    // A successor at a new address; with 3 the old host is still there.
+                    let old = slots[slot];
+                    lab.seeds = slots.iter().copied().filter(|at| *at != old).collect();
+                    for n in (1..lab.seeds.len()).rev() { let m = random.below(n as u64 + 1) as usize; lab.seeds.swap(n, m); }
+                    let zone = lab.hosts[old].zone;
+                    let new = lab.add(Class::Core, next_number, zone, "");
+                    next_number += 1;
+                    lab.start(new, false);
+                    slots[slot] = new;
+                    publish(&lab, &slots);
+                    lost_until[slot] = now + catch_up;
+                    if what == 3 {
+                        due.push((now + ms(500 + random.below(2_000)), old, 4));
+                    }
+                }
+                _ => lab.signal(slot, crate::lab::SIGTERM),
+            }
+        }
+        if now > until && due.is_empty() && lost_until.iter().all(|u| *u < now) { break; }
+        if now < until {
+            let lost = lost_until.iter().filter(|u| **u > now).count();
+            let free: Vec<usize> = (0..5).filter(|s| lost_until[*s] <= now).collect();
+            if lost < TOLERATED && random.below(10) < 3 {
+                let slot = free[random.below(free.len() as u64) as usize];
+                let at = slots[slot];
+                let pause = ms(200 + random.below(2_500));
+                lost_until[slot] = far;
+                match random.below(6) {
+                    0 => { lab.kill(at); due.push((now + pause, slot, 0)); }
+                    1 => { lab.signal(at, crate::lab::SIGSTOP); due.push((now + pause + ms(1_500), slot, 1)); }
+                    2 => {
+                        lab.kill(at);
+                        let folder = lab.data_dir(&lab.hosts[at]);
+                        let _ = std::fs::remove_dir_all(folder);
+                        record.line(format!("{} lost its disk", lab.hosts[at].name));
+                        due.push((now + pause, slot, 0));
+                    }
+                    3 => { lab.kill(at); due.push((now + pause, slot, 2)); }
+                    _ => { due.push((now, slot, 3)); }
+                }
+            }
+        }
+        sleep(ms(100));
+    }
+    stop.store(true, Ordering::Relaxed);
+    let _ = writer.join();
+    // One more change, and right after its acknowledgement the final fault.
+    let newest = *acked.lock().unwrap() + 10;
+    publish(&lab, &slots);
+    let operator = Operator { record: record.clone(), hosts: all.lock().unwrap().clone() };
+    let body = Config { version: newest, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms: 15_000, padding: 20 }.body();
+    let last = operator.order("PUT", "/config", &body, ms(10_000));
+    if last != Some(200) {
+        record.line("PROBLEM: a valid change is not acknowledged on a calm core");
+    }
+    let expected = if last == Some(200) { newest } else { *acked.lock().unwrap() };
+    let first = random.below(5) as usize;
+    let second = (first + 1 + random.below(4) as usize) % 5;
+    for at in &slots { lab.kill(*at); }
+    for slot in [first, second] {
+        let folder = lab.data_dir(&lab.hosts[slots[slot]]);
+        let _ = std::fs::remove_dir_all(folder);
+        record.line(format!("{} lost its disk", lab.hosts[slots[slot]].name));
+    }
+    sleep(ms(800));
+    lab.seeds = slots.clone();
+    for at in &slots { lab.start(*at, false); }
+    let mut read = 0;
+    let until = Instant::now() + ms(20_000);
+    while Instant::now() < until && read < expected {
+        for host in &operator.hosts {
+            if let Some((200, body)) = operator.call_at(*host, "GET", "/config", b"") {
+                let text = String::from_utf8_lossy(&body[..40]).into_owned();
+                read = text.split(&[':', ','][..]).nth(1).and_then(|v| v.parse().ok()).unwrap_or(0);
+            }
+        }
+        sleep(ms(100));
+    }
+    record.line(format!("acknowledged {expected}, read back {read}, ended {:?}", lab.ended()));
+    let broken = read < expected || last != Some(200);
+    if broken { record.line(format!("PROBLEM: logs in {}", lab.dir.display())); let to = format!("/tmp/core-logs-{}", std::process::id()); let _ = std::process::Command::new("cp").args(["-r", &lab.dir.display().to_string(), &to]).status(); }
+    lab.end();
+    i32::from(broken)
+}
+
+/// The control host that answers a read itself: the leader.
+fn leader(lab: &Lab, among: &[usize]) -> Option<usize> {
+    let port = lab.ports.control;
+    among.iter().copied().find(|at| {
+        let to = SocketAddrV4::new(lab.hosts[*at].ip, port);
+        crate::lab::http(to, "GET", "/config", b"", ms(500)).is_some_and(|a| a.0 == 200)
+    })
+}
+
+fn version_in(body: &[u8]) -> u64 {
+    let text = String::from_utf8_lossy(&body[..body.len().min(40)]).into_owned();
+    text.split(&[':', ','][..]).nth(1).and_then(|v| v.trim().parse().ok()).unwrap_or(0)
+}
+
+/// LOST: a core host is replaced as planned, and the leader loses its disk while the successor waits for its place;
+/// `catch_up_s` after the old host has left, a second disk is lost.
+pub fn late_successor(record: &Record, trouble: bool) -> i32 {
+    let terms = Terms { tolerated: 2, ..Terms::default() };
+    let mut lab = Lab::new(record.clone(), terms);
+    for n in 0..5 {
+        lab.add(Class::Core, 10 + n, ZONES[usize::from(n) % 3], "");
+    }
+    lab.start_all();
+    sleep(ms(10_000));
+    let mut members = lab.of(Class::Core);
+    let body = |version| Config { version, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms: 15_000, padding: 8 }.body();
+    let at_hosts = |lab: &Lab, members: &[usize]| Operator {
+        record: record.clone(),
+        hosts: members.iter().map(|at| SocketAddrV4::new(lab.hosts[*at].ip, lab.ports.control)).collect(),
+    };
+    if at_hosts(&lab, &members).order("PUT", "/config", &body(3), ms(10_000)) != Some(200) {
+        return NOT_RUN;
+    }
+    if trouble {
+        // The successor comes first, at a new address and with an empty disk, and has more than `catch_up_s` (4 s).
+        lab.seeds = members[..3].to_vec();
+        let new = lab.add(Class::Core, 20, ZONES[1], "");
+        lab.start(new, false);
+        sleep(ms(5_000));
+        let Some(first) = leader(&lab, &members) else { return NOT_RUN };
+        let Some(old) = members.iter().copied().rev().find(|at| *at != first) else { return NOT_RUN };
+        members.retain(|at| *at != old);
+        members.push(new);
+        record.line(format!("{} leads; {} leaves, {} takes its place", lab.hosts[first].name, lab.hosts[old].name, lab.hosts[new].name));
+        let left_at = Instant::now();
+        lab.signal(old, crate::lab::SIGTERM);
+        if !lab.wait(old, ms(6_000)) {
+            return NOT_RUN;
+        }
+        // The leader loses power and its disk right after it has acknowledged a change.
+        sleep((left_at + ms(1_700)).saturating_duration_since(Instant::now()));
+        let mut version = 5;
+        for (number, due) in [(1, ms(1_700)), (2, ms(4_100))] {
+            sleep((left_at + due).saturating_duration_since(Instant::now()));
+            version += 2;
+            let running: Vec<_> = members.iter().copied().filter(|at| lab.is_running(*at)).collect();
+            if at_hosts(&lab, &running).order("PUT", "/config", &body(version), ms(8_000)) != Some(200) {
+                record.line("a change has no ack; the case asks for one before the next disk is lost");
+                return NOT_RUN;
+            }
+            let Some(acted) = leader(&lab, &running) else { return NOT_RUN };
+            lab.kill(acted);
+            let folder = lab.data_dir(&lab.hosts[acted]);
+            let _ = std::fs::remove_dir_all(folder);
+            record.line(format!("disk {number}: {} acknowledged version {version}, lost power and its disk {:.2} s after the old host left", lab.hosts[acted].name, left_at.elapsed().as_secs_f64()));
+        }
+        // Both come back with empty disks, 3 s after the first and 1.5 s after the second loss.
+        for at in members.clone() {
+            if !lab.is_running(at) {
+                sleep((left_at + ms(5_000)).saturating_duration_since(Instant::now()));
+                lab.start(at, false);
+                sleep(ms(600));
+            }
+        }
+    }
+    let expected = if trouble { 9 } else { 3 };
+    sleep(ms(12_000));
+    let operator = at_hosts(&lab, &members);
+    let (mut read, mut statuses) = (0, Vec::new());
+    let until = Instant::now() + ms(25_000);
+    while Instant::now() < until && read < expected {
+        statuses.clear();
+        for host in &operator.hosts {
+            let answer = operator.call_at(*host, "GET", "/config", b"");
+            statuses.push(answer.as_ref().map(|a| a.0));
+            if let Some((200, body)) = answer {
+                read = version_in(&body).max(read);
+            }
+        }
+        sleep(ms(200));
+    }
+    record.line(format!("acknowledged {expected}, read back {read}; last answers {statuses:?}; programs that ended by themselves: {:?}", lab.ended()));
+    lab.end();
+    if read < expected { RULE_BROKEN } else { HELD }
+}
--- a/review/standin-2/lab.rs
+++ b/review/standin-2/lab.rs
@@ -199,6 +199,8 @@
     pub terms: Terms,
     pub hosts: Vec<Host>,
     pub dir: PathBuf,
+    /// The control hosts that settings files written later name as seeds; the first three if there are none.
+    pub seeds: Vec<usize>,
     net: (u8, u8),
 }
 
@@ -213,7 +215,7 @@
         let mut port = || free_port(net);
         let ports = Ports { datagram: port(), ready: port(), control: port(), outbound: port(), app: port(), inner: port() };
         record.line(format!("hosts at 127.{}.{}.*, {ports:?}, {terms:?}", net.0, net.1));
-        Self { record, ports, terms, hosts: Vec::new(), dir, net }
+        Self { record, ports, terms, hosts: Vec::new(), dir, seeds: Vec::new(), net }
     }
 
     pub fn address(&self, host: u8) -> Ipv4Addr {
@@ -252,7 +254,11 @@
             Class::Side => format!("service: \"{}\"\napp: \"{ip}:{}\"\n", host.service, p.app),
             _ => String::new(),
         };
-        let seeds: String = self.of(Class::Core).iter().take(3)
+        let mut seeds = self.of(Class::Core);
+        if !bootstrap && !self.seeds.is_empty() {
+            seeds = self.seeds.clone();
+        }
+        let seeds: String = seeds.iter().take(3)
             .map(|i| format!("  - \"{}:{}\"\n", self.hosts[*i].ip, p.control)).collect();
         let data_dir = match class {
             Class::Core => format!("\"{}\"", self.data_dir(host).display()),
@@ -339,6 +345,10 @@
         false
     }
 
+    pub fn is_running(&self, at: usize) -> bool {
+        self.hosts[at].child.is_some()
+    }
+
     /// Names of the programs that have ended by themselves.
     pub fn ended(&mut self) -> Vec<String> {
         let mut ended = Vec::new();
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -20,6 +20,8 @@
         "idle-flow" => cases::idle_flow(&record, trouble),
         "late-report" => cases::late_report(&record, trouble),
         "young-server" => cases::young_server(&record, trouble),
+        "explore-core" => cases::explore_core(&record, trouble),
+        "late-successor" => cases::late_successor(&record, trouble),
         "explore-roll" => cases::explore_roll(&record, trouble),
         "foreign-report" => cases::foreign_report(&record, trouble),
         "explore-control" => cases::explore_control(&record, trouble),
