--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -535,6 +535,8 @@
     let mut successors = std::collections::HashMap::new();
     let until = Instant::now() + ms(50_000);
     let far = Instant::now() + ms(600_000);
+    let mut disks_lost = vec![false; 5];
+    let mut calm_since = Instant::now();
     let publish = |lab: &Lab, slots: &[usize]| {
         *all.lock().unwrap() = slots.iter().map(|at| SocketAddrV4::new(lab.hosts[*at].ip, lab.ports.control)).collect();
     };
@@ -571,7 +573,46 @@
             }
         }
         if now > until && due.is_empty() && lost_until.iter().all(|u| *u < now) { break; }
-        if now < until {
+        if lost_until.iter().any(|u| *u == far) {
+            calm_since = now;
+        } else if now > calm_since + ms(6_500) {
+            disks_lost.iter_mut().for_each(|d| *d = false);
+        }
+        let beyond = std::env::var_os("BEYOND").is_some();
+        if now > until && beyond && disks_lost.iter().any(|d| *d) { sleep(ms(100)); continue; }
+        if now < until && beyond && random.below(10) < 4 {
+            let free: Vec<usize> = (0..5).filter(|s| lost_until[*s] != far).collect();
+            if !free.is_empty() {
+                let slot = free[random.below(free.len() as u64) as usize];
+                let at = slots[slot];
+                let pause = ms(200 + random.below(2_500));
+                let may_lose_disk = disks_lost.iter().filter(|d| **d).count() < TOLERATED && !disks_lost[slot];
+                match random.below(7) {
+                    0 | 1 => { lost_until[slot] = far; lab.kill(at); due.push((now + pause, slot, 0)); }
+                    2 => { lost_until[slot] = far; lab.signal(at, crate::lab::SIGSTOP); due.push((now + pause + ms(1_500), slot, 1)); }
+                    3 | 4 if may_lose_disk => {
+                        lost_until[slot] = far;
+                        disks_lost[slot] = true;
+                        lab.kill(at);
+                        let folder = lab.data_dir(&lab.hosts[at]);
+                        let _ = std::fs::remove_dir_all(folder);
+                        record.line(format!("{} lost its disk", lab.hosts[at].name));
+                        due.push((now + pause, slot, 0));
+                    }
+                    5 if may_lose_disk => { lost_until[slot] = far; disks_lost[slot] = true; lab.kill(at); due.push((now + pause, slot, 2)); }
+                    6 => {
+                        for slot in free {
+                            lost_until[slot] = far;
+                            lab.kill(slots[slot]);
+                            due.push((now + pause, slot, 0));
+                        }
+                    }
+                    _ => {}
+                }
+                if random.below(3) == 0 { sleep(ms(random.below(4_000))); }
+            }
+        }
+        if now < until && !beyond {
             let lost = lost_until.iter().filter(|u| **u > now).count();
             let free: Vec<usize> = (0..5).filter(|s| lost_until[*s] <= now).collect();
             if lost < TOLERATED && random.below(10) < 3 {
@@ -732,3 +773,75 @@
     lab.end();
     if read < expected { RULE_BROKEN } else { HELD }
 }
+
+/// FLOW: agents are restarted in turn as planned; one whose server's report comes late, since its pause increases after
+/// a failure, counts as an agent without a server.
+pub fn late_beat(record: &Record, trouble: bool) -> i32 {
+    let mut lab = deployment(record, Terms::default(), 2, &["orders", "orders", "orders"]);
+    let operator = Operator::of(&lab);
+    let config = Config { version: 3, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms: 15_000, padding: 0 }.body();
+    if operator.order("PUT", "/config", &config, ms(10_000)) != Some(200) {
+        return NOT_RUN;
+    }
+    let sides = lab.of(Class::Side);
+    let mut servers: Vec<_> = sides.iter().map(|at| Server::start(&lab, *at, ServerOptions {
+        id: format!("i-{}", lab.hosts[*at].name), service: "orders", first_sequence: 1, work: ms(5), backs_off: std::env::var("BACKOFF").map_or(true, |b| b != "0"),
+    })).collect();
+    if !wait_for(ms(10_000), || servers.iter().all(Server::is_acknowledged)) || !lab.wait_ready(ms(10_000)) {
+        return NOT_RUN;
+    }
+    sleep(ms(5_000));
+    let via = fronts(&lab);
+    let mut caller = Caller::new(&lab, 200);
+    let mut flows = Vec::new();
+    for _ in 0..90 {
+        let Some(mut flow) = open(&mut caller, via[1], 443) else { return NOT_RUN };
+        if !matches!(flow.request(via[1], "POST /first", ms(4_000)), Outcome::Answer(_)) {
+            return NOT_RUN;
+        }
+        if servers[0].opened.lock().unwrap().iter().any(|o| o.1 == flow.own) {
+            flows.push((Instant::now(), flow));
+        }
+    }
+    let front = lab.of(Class::Front)[1];
+    let mut started = Instant::now();
+    if trouble {
+        // In turn: the agents, the balancer that has seen the flows, and the first agent once more.
+        for at in [sides[0], sides[1], sides[2], front, sides[0]] {
+            if at == sides[0] {
+                // Any moment would do; with this one the server's next report but one fails.
+                let last = servers[0].reports.lock().unwrap().last().map(|r| r.0);
+                sleep(last.map_or(ms(0), |last| (last + ms(970)).saturating_duration_since(Instant::now())));
+            }
+            lab.signal(at, crate::lab::SIGTERM);
+            if !lab.wait(at, ms(6_000)) {
+                return NOT_RUN;
+            }
+            sleep(ms(600));
+            lab.start(at, false);
+            started = Instant::now();
+            sleep(ms(300));
+        }
+    }
+    let threads: Vec<_> = flows.into_iter().enumerate().map(|(n, (last, mut flow))| {
+        let (via, record) = (via[0], record.clone());
+        let due = started + ms(1_180 + 12 * n as u64);
+        std::thread::spawn(move || {
+            sleep(due.saturating_duration_since(Instant::now()));
+            let idle = last.elapsed();
+            let outcome = flow.request(via, "POST /second", ms(4_000));
+            record.line(format!("flow {n} from {}: idle for {:.1} s: {outcome:?}", flow.own, idle.as_secs_f64()));
+            (outcome == Outcome::Reset && idle < ms(15_000)).then_some(flow.own)
+        })
+    }).collect();
+    let count = threads.len();
+    let reset: Vec<_> = threads.into_iter().filter_map(|t| t.join().ok().flatten()).collect();
+    let broken = reset.len();
+    let runs = servers[0].runs.lock().unwrap();
+    let run = reset.iter().filter(|own| runs.iter().any(|r| r.1 == **own && r.2.starts_with("POST /second"))).count();
+    drop(runs);
+    record.line(format!("flows broken: {broken} of {count}; in {run} of these the server ran the request all the same"));
+    for s in &mut servers { s.crash(); }
+    lab.end();
+    if broken > 0 { RULE_BROKEN } else { HELD }
+}
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -22,6 +22,7 @@
         "young-server" => cases::young_server(&record, trouble),
         "explore-core" => cases::explore_core(&record, trouble),
         "late-successor" => cases::late_successor(&record, trouble),
+        "late-beat" => cases::late_beat(&record, trouble),
         "explore-roll" => cases::explore_roll(&record, trouble),
         "foreign-report" => cases::foreign_report(&record, trouble),
         "explore-control" => cases::explore_control(&record, trouble),
