--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -4,7 +4,10 @@
 use std::thread::sleep;
 use std::time::Instant;
 
-use crate::lab::{Caller, Class, Config, Flow, Lab, Operator, Outcome, Record, Server, ServerOptions, Terms, ZONES, ms, route};
+use crate::lab::{
+    Caller, Class, Config, Flow, Lab, Operator, Outcome, Record, Server, ServerOptions, Terms,
+    ZONES, ms, route,
+};
 
 const RULE_BROKEN: i32 = 1;
 const HELD: i32 = 0;
@@ -27,16 +30,39 @@
 }
 
 fn fronts(lab: &Lab) -> Vec<SocketAddrV4> {
-    lab.of(Class::Front).iter().map(|i| SocketAddrV4::new(lab.hosts[*i].ip, lab.ports.datagram)).collect()
+    lab.of(Class::Front)
+        .iter()
+        .map(|i| SocketAddrV4::new(lab.hosts[*i].ip, lab.ports.datagram))
+        .collect()
 }
 
 fn server(lab: &Lab, at: usize, first_sequence: u64) -> Server {
     let host = &lab.hosts[at];
-    Server::start(lab, at, ServerOptions { id: format!("i-{}", host.name), service: host.service, first_sequence, work: ms(15), backs_off: false })
+    Server::start(
+        lab,
+        at,
+        ServerOptions {
+            id: format!("i-{}", host.name),
+            service: host.service,
+            first_sequence,
+            work: ms(15),
+            backs_off: false,
+        },
+    )
 }
 
 fn server_named(lab: &Lab, at: usize, first_sequence: u64, id: &str) -> Server {
-    Server::start(lab, at, ServerOptions { id: id.to_owned(), service: lab.hosts[at].service, first_sequence, work: ms(15), backs_off: false })
+    Server::start(
+        lab,
+        at,
+        ServerOptions {
+            id: id.to_owned(),
+            service: lab.hosts[at].service,
+            first_sequence,
+            work: ms(15),
+            backs_off: false,
+        },
+    )
 }
 
 fn wait_for(limit: std::time::Duration, done: impl Fn() -> bool) -> bool {
@@ -65,18 +91,33 @@
 pub fn idle_flow(record: &Record, trouble: bool) -> i32 {
     let mut lab = deployment(record, Terms::default(), 2, &["orders", "orders", "orders"]);
     let operator = Operator::of(&lab);
-    let config = |version, idle_timeout_ms| Config {
-        version, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms, padding: 0,
-    }.body();
+    let config = |version, idle_timeout_ms| {
+        Config {
+            version,
+            routes: &[(443, "orders")],
+            services: &["orders"],
+            idle_timeout_ms,
+            padding: 0,
+        }
+        .body()
+    };
     if operator.order("PUT", "/config", &config(3, 15_000), ms(10_000)) != Some(200) {
         return NOT_RUN;
     }
-    let servers: Vec<_> = lab.of(Class::Side).iter().map(|at| server(&lab, *at, 1)).collect();
-    if !wait_for(ms(10_000), || servers.iter().all(Server::is_acknowledged)) || !lab.wait_ready(ms(10_000)) {
+    let servers: Vec<_> = lab
+        .of(Class::Side)
+        .iter()
+        .map(|at| server(&lab, *at, 1))
+        .collect();
+    if !wait_for(ms(10_000), || servers.iter().all(Server::is_acknowledged))
+        || !lab.wait_ready(ms(10_000))
+    {
         return NOT_RUN;
     }
     let idle_timeout_ms = if trouble { 50_000 } else { 15_000 };
-    if trouble && operator.order("PUT", "/config", &config(7, idle_timeout_ms), ms(10_000)) != Some(200) {
+    if trouble
+        && operator.order("PUT", "/config", &config(7, idle_timeout_ms), ms(10_000)) != Some(200)
+    {
         return NOT_RUN;
     }
     // Longer than `config_apply_ms` and `stability_window_ms`: the new version is in force on all hosts.
@@ -85,8 +126,13 @@
     let mut caller = Caller::new(&lab, 200);
     let mut flows = Vec::new();
     for n in 0..12 {
-        let Some(mut flow) = open(&mut caller, via[n % 2], 443) else { return NOT_RUN };
-        if !matches!(flow.request(via[n % 2], "POST /first", ms(4_000)), Outcome::Answer(_)) {
+        let Some(mut flow) = open(&mut caller, via[n % 2], 443) else {
+            return NOT_RUN;
+        };
+        if !matches!(
+            flow.request(via[n % 2], "POST /first", ms(4_000)),
+            Outcome::Answer(_)
+        ) {
             return NOT_RUN;
         }
         flows.push((Instant::now(), flow));
@@ -101,10 +147,17 @@
         if outcome == Outcome::Reset && !is_excused {
             broken += 1;
         }
-        record.line(format!("flow {n}: idle for {:.1} s, idle_timeout_ms {idle_timeout_ms}: {outcome:?}{}", idle.as_secs_f64(), if is_excused { ", excused" } else { "" }));
+        record.line(format!(
+            "flow {n}: idle for {:.1} s, idle_timeout_ms {idle_timeout_ms}: {outcome:?}{}",
+            idle.as_secs_f64(),
+            if is_excused { ", excused" } else { "" }
+        ));
     }
     let ended = lab.ended();
-    record.line(format!("flows broken: {broken} of {}; programs that ended: {ended:?}", flows.len()));
+    record.line(format!(
+        "flows broken: {broken} of {}; programs that ended: {ended:?}",
+        flows.len()
+    ));
     for mut s in servers {
         s.crash();
     }
@@ -112,33 +165,59 @@
     if broken > 0 { RULE_BROKEN } else { HELD }
 }
 
-/// Exploration: many large configurations while one control host at a time is killed, frozen or loses its disk.
+/// Exploration: many configurations while up to half of the control hosts (`CORES`) are killed, frozen or lose their
+/// disks. `PADDING` is the number of routes beside the first.
 pub fn explore_control(record: &Record, trouble: bool) -> i32 {
     use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
     use std::sync::{Arc, Mutex};
-    let cores: u8 = std::env::var("CORES").ok().and_then(|p| p.parse().ok()).unwrap_or(3);
+    let cores: u8 = std::env::var("CORES")
+        .ok()
+        .and_then(|p| p.parse().ok())
+        .unwrap_or(3);
     let lost_at_once = usize::from(cores / 2);
-    let mut lab = Lab::new(record.clone(), Terms { tolerated: lost_at_once, ..Terms::default() });
+    let mut lab = Lab::new(
+        record.clone(),
+        Terms {
+            tolerated: lost_at_once,
+            ..Terms::default()
+        },
+    );
     for n in 0..cores {
         lab.add(Class::Core, 10 + n, ZONES[usize::from(n) % 3], "");
     }
     lab.add(Class::Front, 30, ZONES[0], "");
     lab.start_all();
-    if cores > 3 { sleep(ms(8_000)); }
-    let padding = std::env::var("PADDING").ok().and_then(|p| p.parse().ok()).unwrap_or(1000);
+    if cores > 3 {
+        sleep(ms(8_000));
+    }
+    let padding = std::env::var("PADDING")
+        .ok()
+        .and_then(|p| p.parse().ok())
+        .unwrap_or(1000);
     let acked = Arc::new(Mutex::new(Vec::<(Instant, u64)>::new()));
     let stop = Arc::new(AtomicBool::new(false));
     let stale = Arc::new(AtomicU64::new(0));
     let hosts = Operator::of(&lab).hosts;
     let mut threads = Vec::new();
     for w in 0..2_u64 {
-        let (acked, stop, record, hosts) = (acked.clone(), stop.clone(), record.clone(), hosts.clone());
+        let (acked, stop, record, hosts) =
+            (acked.clone(), stop.clone(), record.clone(), hosts.clone());
         threads.push(std::thread::spawn(move || {
-            let operator = Operator { record: record.clone(), hosts };
+            let operator = Operator {
+                record: record.clone(),
+                hosts,
+            };
             let mut version = 10 + w;
             while !stop.load(Ordering::Relaxed) {
                 version += 2;
-                let body = Config { version, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms: 15_000, padding }.body();
+                let body = Config {
+                    version,
+                    routes: &[(443, "orders")],
+                    services: &["orders"],
+                    idle_timeout_ms: 15_000,
+                    padding,
+                }
+                .body();
                 match operator.order("PUT", "/config", &body, ms(30_000)) {
                     Some(200) => acked.lock().unwrap().push((Instant::now(), version)),
                     other => record.line(format!("PROBLEM: version {version}: {other:?}")),
@@ -148,17 +227,27 @@
         }));
     }
     for host in hosts.clone() {
-        let (acked, stop, record, stale) = (acked.clone(), stop.clone(), record.clone(), stale.clone());
+        let (acked, stop, record, stale) =
+            (acked.clone(), stop.clone(), record.clone(), stale.clone());
         threads.push(std::thread::spawn(move || {
-            let operator = Operator { record: record.clone(), hosts: vec![host] };
+            let operator = Operator {
+                record: record.clone(),
+                hosts: vec![host],
+            };
             while !stop.load(Ordering::Relaxed) {
                 let newest = acked.lock().unwrap().iter().map(|a| a.1).max();
                 if let Some((200, body)) = operator.call_at(host, "GET", "/config", b"") {
                     let text = String::from_utf8_lossy(&body[..40.min(body.len())]).into_owned();
-                    let version: u64 = text.split(&[':', ','][..]).nth(1).and_then(|v| v.parse().ok()).unwrap_or(0);
+                    let version: u64 = text
+                        .split(&[':', ','][..])
+                        .nth(1)
+                        .and_then(|v| v.parse().ok())
+                        .unwrap_or(0);
                     if newest.is_some_and(|n| version < n) {
                         stale.fetch_add(1, Ordering::Relaxed);
-                        record.line(format!("PROBLEM: read {version} at {host}, acknowledged before: {newest:?}"));
+                        record.line(format!(
+                            "PROBLEM: read {version} at {host}, acknowledged before: {newest:?}"
+                        ));
                     }
                 }
                 sleep(ms(150));
@@ -171,15 +260,27 @@
     let until = Instant::now() + ms(if trouble { 80_000 } else { 10_000 });
     while trouble && Instant::now() < until {
         let first = random.below(u64::from(cores)) as usize;
-        let hit: Vec<usize> = (0..1 + random.below(lost_at_once as u64) as usize).map(|n| core[(first + n) % core.len()]).collect();
+        let hit: Vec<usize> = (0..1 + random.below(lost_at_once as u64) as usize)
+            .map(|n| core[(first + n) % core.len()])
+            .collect();
         match random.below(4) {
             0 => {
-                for at in &hit { lab.kill(*at); }
-                for at in &hit { sleep(ms(200 + random.below(2500))); lab.start(*at, false); }
+                for at in &hit {
+                    lab.kill(*at);
+                }
+                for at in &hit {
+                    sleep(ms(200 + random.below(2500)));
+                    lab.start(*at, false);
+                }
             }
             1 => {
-                for at in &hit { lab.signal(*at, crate::lab::SIGSTOP); }
-                for at in &hit { sleep(ms(500 + random.below(4000))); lab.signal(*at, crate::lab::SIGCONT); }
+                for at in &hit {
+                    lab.signal(*at, crate::lab::SIGSTOP);
+                }
+                for at in &hit {
+                    sleep(ms(500 + random.below(4000)));
+                    lab.signal(*at, crate::lab::SIGCONT);
+                }
             }
             2 => {
                 for at in &hit {
@@ -188,26 +289,39 @@
                     let _ = std::fs::remove_dir_all(folder);
                     record.line("disk lost");
                 }
-                for at in &hit { sleep(ms(200 + random.below(2500))); lab.start(*at, false); }
+                for at in &hit {
+                    sleep(ms(200 + random.below(2500)));
+                    lab.start(*at, false);
+                }
             }
             _ => {
-                for at in &core { lab.kill(*at); }
+                for at in &core {
+                    lab.kill(*at);
+                }
                 sleep(ms(300 + random.below(600)));
-                for at in &core { lab.start(*at, false); }
+                for at in &core {
+                    lab.start(*at, false);
+                }
             }
         }
         sleep(ms(6100 + random.below(1500)));
     }
     sleep(ms(2000));
     stop.store(true, Ordering::Relaxed);
-    for t in threads { let _ = t.join(); }
+    for t in threads {
+        let _ = t.join();
+    }
     let newest = acked.lock().unwrap().iter().map(|a| a.1).max().unwrap_or(0);
     let operator = Operator::of(&lab);
     let mut read = 0;
     for _ in 0..50 {
         if let Some((200, body)) = operator.call_at(operator.hosts[0], "GET", "/config", b"") {
             let text = String::from_utf8_lossy(&body[..40]).into_owned();
-            read = text.split(&[':', ','][..]).nth(1).and_then(|v| v.parse().ok()).unwrap_or(0);
+            read = text
+                .split(&[':', ','][..])
+                .nth(1)
+                .and_then(|v| v.parse().ok())
+                .unwrap_or(0);
             break;
         }
         sleep(ms(200));
@@ -231,10 +345,19 @@
     let mut flows = Vec::new();
     for n in 0..200 {
         let mut flow = open(&mut caller, via[n % via.len()], 443)?;
-        if !matches!(flow.request(via[n % via.len()], "POST /first", ms(4_000)), Outcome::Answer(_)) {
+        if !matches!(
+            flow.request(via[n % via.len()], "POST /first", ms(4_000)),
+            Outcome::Answer(_)
+        ) {
             return None;
         }
-        if server.opened.lock().unwrap().iter().any(|o| o.1 == flow.own) {
+        if server
+            .opened
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|o| o.1 == flow.own)
+        {
             flows.push((Instant::now(), flow));
         }
         if flows.len() >= count {
@@ -252,7 +375,11 @@
         let idle = last.elapsed();
         let outcome = flow.request(via[(n + 1) % via.len()], "POST /second", ms(2_000));
         broken += usize::from(outcome == Outcome::Reset);
-        record.line(format!("flow {n} from {}: idle for {:.1} s: {outcome:?}", flow.own, idle.as_secs_f64()));
+        record.line(format!(
+            "flow {n} from {}: idle for {:.1} s: {outcome:?}",
+            flow.own,
+            idle.as_secs_f64()
+        ));
     }
     broken
 }
@@ -261,14 +388,24 @@
 pub fn late_report(record: &Record, trouble: bool) -> i32 {
     let mut lab = deployment(record, Terms::default(), 2, &["orders", "orders", "orders"]);
     let operator = Operator::of(&lab);
-    let config = Config { version: 3, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms: 15_000, padding: 0 }.body();
+    let config = Config {
+        version: 3,
+        routes: &[(443, "orders")],
+        services: &["orders"],
+        idle_timeout_ms: 15_000,
+        padding: 0,
+    }
+    .body();
     if operator.order("PUT", "/config", &config, ms(10_000)) != Some(200) {
         return NOT_RUN;
     }
     let sides = lab.of(Class::Side);
     let mut first = server_named(&lab, sides[0], 1, "i-first");
     let mut others: Vec<_> = sides[1..].iter().map(|at| server(&lab, *at, 1)).collect();
-    if !wait_for(ms(10_000), || first.is_acknowledged() && others.iter().all(Server::is_acknowledged)) || !lab.wait_ready(ms(10_000)) {
+    if !wait_for(ms(10_000), || {
+        first.is_acknowledged() && others.iter().all(Server::is_acknowledged)
+    }) || !lab.wait_ready(ms(10_000))
+    {
         return NOT_RUN;
     }
     sleep(ms(2_500));
@@ -282,7 +419,9 @@
         return NOT_RUN;
     }
     sleep(ms(4_000));
-    let Some(mut open) = open_at(&lab, &second, 10) else { return NOT_RUN };
+    let Some(mut open) = open_at(&lab, &second, 10) else {
+        return NOT_RUN;
+    };
     let part = std::env::var("PART").unwrap_or_default();
     if trouble || part == "restart" {
         lab.signal(sides[0], crate::lab::SIGTERM);
@@ -296,7 +435,13 @@
         let to = SocketAddrV4::new(lab.hosts[sides[0]].ip, lab.ports.control);
         let until = Instant::now() + ms(3_000);
         let status = loop {
-            let answer = crate::lab::http(to, "PUT", "/instances/i-first", delayed.as_bytes(), ms(1_000));
+            let answer = crate::lab::http(
+                to,
+                "PUT",
+                "/instances/i-first",
+                delayed.as_bytes(),
+                ms(1_000),
+            );
             if answer.is_some() || Instant::now() > until {
                 break answer.map(|a| a.0);
             }
@@ -307,7 +452,10 @@
     sleep(ms(6_000));
     let broken = second_requests(record, &lab, &mut open);
     let ended = lab.ended();
-    record.line(format!("flows broken: {broken} of {}; programs that ended: {ended:?}", open.flows.len()));
+    record.line(format!(
+        "flows broken: {broken} of {}; programs that ended: {ended:?}",
+        open.flows.len()
+    ));
     drop(open.caller);
     others.push(second);
     for s in &mut others {
@@ -321,13 +469,22 @@
 pub fn young_server(record: &Record, trouble: bool) -> i32 {
     let mut lab = deployment(record, Terms::default(), 2, &["orders", "orders", "orders"]);
     let operator = Operator::of(&lab);
-    let config = Config { version: 3, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms: 15_000, padding: 0 }.body();
+    let config = Config {
+        version: 3,
+        routes: &[(443, "orders")],
+        services: &["orders"],
+        idle_timeout_ms: 15_000,
+        padding: 0,
+    }
+    .body();
     if operator.order("PUT", "/config", &config, ms(10_000)) != Some(200) {
         return NOT_RUN;
     }
     let sides = lab.of(Class::Side);
     let mut others: Vec<_> = sides[1..].iter().map(|at| server(&lab, *at, 0)).collect();
-    if !wait_for(ms(10_000), || others.iter().all(Server::is_acknowledged)) || !lab.wait_ready(ms(10_000)) {
+    if !wait_for(ms(10_000), || others.iter().all(Server::is_acknowledged))
+        || !lab.wait_ready(ms(10_000))
+    {
         return NOT_RUN;
     }
     sleep(ms(5_000));
@@ -336,7 +493,9 @@
         return NOT_RUN;
     }
     sleep(ms(50));
-    let Some(mut open) = open_at(&lab, &young, 4) else { return NOT_RUN };
+    let Some(mut open) = open_at(&lab, &young, 4) else {
+        return NOT_RUN;
+    };
     if trouble {
         lab.kill(sides[0]);
         sleep(ms(100));
@@ -344,7 +503,18 @@
     }
     sleep(ms(7_000));
     let broken = second_requests(record, &lab, &mut open);
-    record.line(format!("flows broken: {broken} of {}; reports {:?}", open.flows.len(), young.reports.lock().unwrap().iter().take(4).map(|r| (r.1, r.2)).collect::<Vec<_>>()));
+    record.line(format!(
+        "flows broken: {broken} of {}; reports {:?}",
+        open.flows.len(),
+        young
+            .reports
+            .lock()
+            .unwrap()
+            .iter()
+            .take(4)
+            .map(|r| (r.1, r.2))
+            .collect::<Vec<_>>()
+    ));
     others.push(young);
     for s in &mut others {
         s.crash();
@@ -353,22 +523,45 @@
     if broken > 0 { RULE_BROKEN } else { HELD }
 }
 
-/// Exploration: flows with long pauses while agents and balancers are restarted in turn. No server ends.
+/// Exploration: flows with long pauses while agents and balancers are restarted in turn, or with `KILL` three agents and a
+/// balancer killed at once. No server ends. With `BACKOFF` the servers' pauses increase after failed reports.
 pub fn explore_roll(record: &Record, trouble: bool) -> i32 {
     use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
     use std::sync::{Arc, Mutex};
     let is = |name: &str| std::env::var_os(name).is_some();
     let mut lab = deployment(record, Terms::default(), 3, &["orders"; 5]);
     let operator = Operator::of(&lab);
-    let config = Config { version: 3, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms: 15_000, padding: 0 }.body();
+    let config = Config {
+        version: 3,
+        routes: &[(443, "orders")],
+        services: &["orders"],
+        idle_timeout_ms: 15_000,
+        padding: 0,
+    }
+    .body();
     if operator.order("PUT", "/config", &config, ms(10_000)) != Some(200) {
         return NOT_RUN;
     }
     let sides = lab.of(Class::Side);
-    let mut servers: Vec<_> = sides.iter().map(|at| Server::start(&lab, *at, ServerOptions {
-        id: format!("i-{}", lab.hosts[*at].name), service: "orders", first_sequence: 1, work: ms(5), backs_off: is("BACKOFF"),
-    })).collect();
-    if !wait_for(ms(10_000), || servers.iter().all(Server::is_acknowledged)) || !lab.wait_ready(ms(10_000)) {
+    let mut servers: Vec<_> = sides
+        .iter()
+        .map(|at| {
+            Server::start(
+                &lab,
+                *at,
+                ServerOptions {
+                    id: format!("i-{}", lab.hosts[*at].name),
+                    service: "orders",
+                    first_sequence: 1,
+                    work: ms(5),
+                    backs_off: is("BACKOFF"),
+                },
+            )
+        })
+        .collect();
+    if !wait_for(ms(10_000), || servers.iter().all(Server::is_acknowledged))
+        || !lab.wait_ready(ms(10_000))
+    {
         return NOT_RUN;
     }
     sleep(ms(4_000));
@@ -376,29 +569,53 @@
     let rotation = Arc::new(Mutex::new(via.clone()));
     let stop = Arc::new(AtomicBool::new(false));
     let counts: Arc<[AtomicUsize; 4]> = Arc::default();
-    let threads: Vec<_> = (0..50_u8).map(|n| {
-        let mut caller = Caller::new(&lab, 150 + n);
-        let (rotation, stop, counts, record) = (rotation.clone(), stop.clone(), counts.clone(), record.clone());
-        std::thread::spawn(move || {
-            let mut random = crate::lab::Random::new();
-            for _ in 0..n { random.next(); }
-            let pick = |port: u16| { let r = rotation.lock().unwrap(); r[usize::from(port) % r.len()] };
-            while !stop.load(Ordering::Relaxed) {
-                let Ok(mut flow) = caller.open(pick(n.into()), route(443)) else { sleep(ms(300)); continue };
-                let opened = Instant::now();
-                while opened.elapsed() < ms(40_000) && !stop.load(Ordering::Relaxed) {
-                    let outcome = flow.request(pick(flow.own.port()), "GET /x", ms(4_000));
-                    let which = match outcome { Outcome::Answer(_) => 0, Outcome::Reset => 1, Outcome::ServerReset => 2, Outcome::Silence => 3 };
-                    counts[which].fetch_add(1, Ordering::Relaxed);
-                    if which != 0 {
-                        record.line(format!("PROBLEM: {outcome:?} on {} after {:?}", flow.own, opened.elapsed()));
-                        break;
+    let threads: Vec<_> = (0..50_u8)
+        .map(|n| {
+            let mut caller = Caller::new(&lab, 150 + n);
+            let (rotation, stop, counts, record) = (
+                rotation.clone(),
+                stop.clone(),
+                counts.clone(),
+                record.clone(),
+            );
+            std::thread::spawn(move || {
+                let mut random = crate::lab::Random::new();
+                for _ in 0..n {
+                    random.next();
+                }
+                let pick = |port: u16| {
+                    let r = rotation.lock().unwrap();
+                    r[usize::from(port) % r.len()]
+                };
+                while !stop.load(Ordering::Relaxed) {
+                    let Ok(mut flow) = caller.open(pick(n.into()), route(443)) else {
+                        sleep(ms(300));
+                        continue;
+                    };
+                    let opened = Instant::now();
+                    while opened.elapsed() < ms(40_000) && !stop.load(Ordering::Relaxed) {
+                        let outcome = flow.request(pick(flow.own.port()), "GET /x", ms(4_000));
+                        let which = match outcome {
+                            Outcome::Answer(_) => 0,
+                            Outcome::Reset => 1,
+                            Outcome::ServerReset => 2,
+                            Outcome::Silence => 3,
+                        };
+                        counts[which].fetch_add(1, Ordering::Relaxed);
+                        if which != 0 {
+                            record.line(format!(
+                                "PROBLEM: {outcome:?} on {} after {:?}",
+                                flow.own,
+                                opened.elapsed()
+                            ));
+                            break;
+                        }
+                        sleep(ms(300 + random.below(13_500)));
                     }
-                    sleep(ms(300 + random.below(13_500)));
                 }
-            }
+            })
         })
-    }).collect();
+        .collect();
     sleep(ms(8_000));
     let mut random = crate::lab::Random::new();
     let front = lab.of(Class::Front);
@@ -408,9 +625,13 @@
             let from = random.below(5) as usize;
             let hit: Vec<_> = (0..3).map(|n| sides[(from + n) % 5]).collect();
             let balancer = front[random.below(3) as usize];
-            for at in hit.iter().chain([&balancer]) { lab.kill(*at); }
+            for at in hit.iter().chain([&balancer]) {
+                lab.kill(*at);
+            }
             sleep(ms(200 + random.below(2_500)));
-            for at in hit.iter().chain([&balancer]) { lab.start(*at, false); }
+            for at in hit.iter().chain([&balancer]) {
+                lab.start(*at, false);
+            }
             sleep(ms(7_000 + random.below(3_000)));
             continue;
         }
@@ -436,9 +657,16 @@
     }
     sleep(ms(3_000));
     stop.store(true, Ordering::Relaxed);
-    for t in threads { let _ = t.join(); }
-    record.line(format!("answers, resets, server resets, silences: {counts:?}; ended {:?}", lab.ended()));
-    for s in &mut servers { s.crash(); }
+    for t in threads {
+        let _ = t.join();
+    }
+    record.line(format!(
+        "answers, resets, server resets, silences: {counts:?}; ended {:?}",
+        lab.ended()
+    ));
+    for s in &mut servers {
+        s.crash();
+    }
     lab.end();
     i32::from(counts[1].load(Ordering::Relaxed) > 0)
 }
@@ -447,24 +675,42 @@
 pub fn foreign_report(record: &Record, trouble: bool) -> i32 {
     let mut lab = deployment(record, Terms::default(), 2, &["orders", "orders", "orders"]);
     let operator = Operator::of(&lab);
-    let config = Config { version: 3, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms: 15_000, padding: 0 }.body();
+    let config = Config {
+        version: 3,
+        routes: &[(443, "orders")],
+        services: &["orders"],
+        idle_timeout_ms: 15_000,
+        padding: 0,
+    }
+    .body();
     if operator.order("PUT", "/config", &config, ms(10_000)) != Some(200) {
         return NOT_RUN;
     }
     let sides = lab.of(Class::Side);
     let mut servers: Vec<_> = sides.iter().map(|at| server(&lab, *at, 1)).collect();
-    if !wait_for(ms(10_000), || servers.iter().all(Server::is_acknowledged)) || !lab.wait_ready(ms(10_000)) {
+    if !wait_for(ms(10_000), || servers.iter().all(Server::is_acknowledged))
+        || !lab.wait_ready(ms(10_000))
+    {
         return NOT_RUN;
     }
     sleep(ms(5_000));
-    let Some(mut open) = open_at(&lab, &servers[0], 10) else { return NOT_RUN };
+    let Some(mut open) = open_at(&lab, &servers[0], 10) else {
+        return NOT_RUN;
+    };
     sleep(ms(3_000));
     if trouble {
         let host = &lab.hosts[sides[0]];
-        let body = foreign_body(host.service, SocketAddrV4::new(host.ip, lab.ports.app), host.zone);
+        let body = foreign_body(
+            host.service,
+            SocketAddrV4::new(host.ip, lab.ports.app),
+            host.zone,
+        );
         let to = SocketAddrV4::new(host.ip, lab.ports.control);
-        let status = crate::lab::http(to, "PUT", "/instances/i-other", body.as_bytes(), ms(1_000)).map(|a| a.0);
-        record.line(format!("a report of another writer without the field version, answered {status:?}: {body}"));
+        let status = crate::lab::http(to, "PUT", "/instances/i-other", body.as_bytes(), ms(1_000))
+            .map(|a| a.0);
+        record.line(format!(
+            "a report of another writer without the field version, answered {status:?}: {body}"
+        ));
     }
     sleep(ms(1_000));
     let broken = second_requests(record, &lab, &mut open);
@@ -478,20 +724,30 @@
 
 /// A report that has every field but `version`.
 fn foreign_body(service: &str, address: SocketAddrV4, zone: &str) -> String {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default().as_millis();
+    let now = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis();
     format!(
         "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"max_concurrent\":2,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":{now}}}"
     )
 }
 
 /// Exploration: the control hosts of a core of five are killed, frozen, wiped and replaced, two at a time at most; then
-/// two disks are lost while all other hosts are killed.
+/// two disks are lost while all other hosts are killed. With `BEYOND` any number is killed or frozen at once, and two disks at
+/// most are lost until all hosts have run for 6.5 s.
 pub fn explore_core(record: &Record, _trouble: bool) -> i32 {
     use std::sync::atomic::{AtomicBool, Ordering};
     use std::sync::{Arc, Mutex};
     const TOLERATED: usize = 2;
     let catch_up = ms(4_000);
-    let mut lab = Lab::new(record.clone(), Terms { tolerated: TOLERATED, ..Terms::default() });
+    let mut lab = Lab::new(
+        record.clone(),
+        Terms {
+            tolerated: TOLERATED,
+            ..Terms::default()
+        },
+    );
     for n in 0..5 {
         lab.add(Class::Core, 10 + n, ZONES[usize::from(n) % 3], "");
     }
@@ -508,16 +764,33 @@
             let mut slowest = ms(0);
             while !stop.load(Ordering::Relaxed) {
                 version += 1;
-                let body = Config { version, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms: 15_000, padding: 20 }.body();
+                let body = Config {
+                    version,
+                    routes: &[(443, "orders")],
+                    services: &["orders"],
+                    idle_timeout_ms: 15_000,
+                    padding: 20,
+                }
+                .body();
                 let began = Instant::now();
                 let mut n = version as usize;
                 while !stop.load(Ordering::Relaxed) {
                     let hosts = all.lock().unwrap().clone();
-                    let operator = Operator { record: record.clone(), hosts: vec![hosts[n % hosts.len()]] };
+                    let operator = Operator {
+                        record: record.clone(),
+                        hosts: vec![hosts[n % hosts.len()]],
+                    };
                     n += 1;
-                    if operator.call_at(operator.hosts[0], "PUT", "/config", &body).is_some_and(|a| a.0 == 200) {
+                    if operator
+                        .call_at(operator.hosts[0], "PUT", "/config", &body)
+                        .is_some_and(|a| a.0 == 200)
+                    {
                         *acked.lock().unwrap() = version;
-                        if began.elapsed() > slowest { slowest = began.elapsed(); record.line(format!("slowest ack so far: version {version} {slowest:?}")); }
+                        if began.elapsed() > slowest {
+                            slowest = began.elapsed();
+                            record
+                                .line(format!("slowest ack so far: version {version} {slowest:?}"));
+                        }
                         break;
                     }
                     sleep(ms(50));
@@ -527,7 +800,9 @@
         })
     };
     let mut random = crate::lab::Random::new();
-    for _ in 0..40 { random.next(); }
+    for _ in 0..40 {
+        random.next();
+    }
     let mut lost_until = vec![Instant::now(); 5];
     // What is due later: when, slot, what.
     let mut due: Vec<(Instant, usize, u8)> = Vec::new();
@@ -538,7 +813,10 @@
     let mut disks_lost = vec![false; 5];
     let mut calm_since = Instant::now();
     let publish = |lab: &Lab, slots: &[usize]| {
-        *all.lock().unwrap() = slots.iter().map(|at| SocketAddrV4::new(lab.hosts[*at].ip, lab.ports.control)).collect();
+        *all.lock().unwrap() = slots
+            .iter()
+            .map(|at| SocketAddrV4::new(lab.hosts[*at].ip, lab.ports.control))
+            .collect();
     };
     loop {
         let now = Instant::now();
@@ -546,13 +824,22 @@
         due = later;
         for (_, slot, what) in ready {
             match what {
-                0 => { lab.start(slots[slot], false); lost_until[slot] = now + catch_up; }
-                1 => { lab.signal(slots[slot], crate::lab::SIGCONT); lost_until[slot] = now + catch_up; }
+                0 => {
+                    lab.start(slots[slot], false);
+                    lost_until[slot] = now + catch_up;
+                }
+                1 => {
+                    lab.signal(slots[slot], crate::lab::SIGCONT);
+                    lost_until[slot] = now + catch_up;
+                }
                 2 | 3 => {
                     // A successor at a new address; with 3 the old host is still there.
                     let old = slots[slot];
                     lab.seeds = slots.iter().copied().filter(|at| *at != old).collect();
-                    for n in (1..lab.seeds.len()).rev() { let m = random.below(n as u64 + 1) as usize; lab.seeds.swap(n, m); }
+                    for n in (1..lab.seeds.len()).rev() {
+                        let m = random.below(n as u64 + 1) as usize;
+                        lab.seeds.swap(n, m);
+                    }
                     let zone = lab.hosts[old].zone;
                     let new = lab.add(Class::Core, next_number, zone, "");
                     next_number += 1;
@@ -568,28 +855,44 @@
                 }
                 _ => {
                     lab.signal(slot, crate::lab::SIGTERM);
-                    if let Some(at) = successors.get(&slot) { lost_until[*at] = now + catch_up; }
+                    if let Some(at) = successors.get(&slot) {
+                        lost_until[*at] = now + catch_up;
+                    }
                 }
             }
         }
-        if now > until && due.is_empty() && lost_until.iter().all(|u| *u < now) { break; }
+        if now > until && due.is_empty() && lost_until.iter().all(|u| *u < now) {
+            break;
+        }
         if lost_until.iter().any(|u| *u == far) {
             calm_since = now;
         } else if now > calm_since + ms(6_500) {
             disks_lost.iter_mut().for_each(|d| *d = false);
         }
         let beyond = std::env::var_os("BEYOND").is_some();
-        if now > until && beyond && disks_lost.iter().any(|d| *d) { sleep(ms(100)); continue; }
+        if now > until && beyond && disks_lost.iter().any(|d| *d) {
+            sleep(ms(100));
+            continue;
+        }
         if now < until && beyond && random.below(10) < 4 {
             let free: Vec<usize> = (0..5).filter(|s| lost_until[*s] != far).collect();
             if !free.is_empty() {
                 let slot = free[random.below(free.len() as u64) as usize];
                 let at = slots[slot];
                 let pause = ms(200 + random.below(2_500));
-                let may_lose_disk = disks_lost.iter().filter(|d| **d).count() < TOLERATED && !disks_lost[slot];
+                let may_lose_disk =
+                    disks_lost.iter().filter(|d| **d).count() < TOLERATED && !disks_lost[slot];
                 match random.below(7) {
-                    0 | 1 => { lost_until[slot] = far; lab.kill(at); due.push((now + pause, slot, 0)); }
-                    2 => { lost_until[slot] = far; lab.signal(at, crate::lab::SIGSTOP); due.push((now + pause + ms(1_500), slot, 1)); }
+                    0 | 1 => {
+                        lost_until[slot] = far;
+                        lab.kill(at);
+                        due.push((now + pause, slot, 0));
+                    }
+                    2 => {
+                        lost_until[slot] = far;
+                        lab.signal(at, crate::lab::SIGSTOP);
+                        due.push((now + pause + ms(1_500), slot, 1));
+                    }
                     3 | 4 if may_lose_disk => {
                         lost_until[slot] = far;
                         disks_lost[slot] = true;
@@ -599,7 +902,12 @@
                         record.line(format!("{} lost its disk", lab.hosts[at].name));
                         due.push((now + pause, slot, 0));
                     }
-                    5 if may_lose_disk => { lost_until[slot] = far; disks_lost[slot] = true; lab.kill(at); due.push((now + pause, slot, 2)); }
+                    5 if may_lose_disk => {
+                        lost_until[slot] = far;
+                        disks_lost[slot] = true;
+                        lab.kill(at);
+                        due.push((now + pause, slot, 2));
+                    }
                     6 => {
                         for slot in free {
                             lost_until[slot] = far;
@@ -609,7 +917,9 @@
                     }
                     _ => {}
                 }
-                if random.below(3) == 0 { sleep(ms(random.below(4_000))); }
+                if random.below(3) == 0 {
+                    sleep(ms(random.below(4_000)));
+                }
             }
         }
         if now < until && !beyond {
@@ -621,8 +931,14 @@
                 let pause = ms(200 + random.below(2_500));
                 lost_until[slot] = far;
                 match random.below(6) {
-                    0 => { lab.kill(at); due.push((now + pause, slot, 0)); }
-                    1 => { lab.signal(at, crate::lab::SIGSTOP); due.push((now + pause + ms(1_500), slot, 1)); }
+                    0 => {
+                        lab.kill(at);
+                        due.push((now + pause, slot, 0));
+                    }
+                    1 => {
+                        lab.signal(at, crate::lab::SIGSTOP);
+                        due.push((now + pause + ms(1_500), slot, 1));
+                    }
                     2 => {
                         lab.kill(at);
                         let folder = lab.data_dir(&lab.hosts[at]);
@@ -630,8 +946,13 @@
                         record.line(format!("{} lost its disk", lab.hosts[at].name));
                         due.push((now + pause, slot, 0));
                     }
-                    3 => { lab.kill(at); due.push((now + pause, slot, 2)); }
-                    _ => { due.push((now, slot, 3)); }
+                    3 => {
+                        lab.kill(at);
+                        due.push((now + pause, slot, 2));
+                    }
+                    _ => {
+                        due.push((now, slot, 3));
+                    }
                 }
             }
         }
@@ -642,16 +963,32 @@
     // One more change, and right after its acknowledgement the final fault.
     let newest = *acked.lock().unwrap() + 10;
     publish(&lab, &slots);
-    let operator = Operator { record: record.clone(), hosts: all.lock().unwrap().clone() };
-    let body = Config { version: newest, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms: 15_000, padding: 20 }.body();
+    let operator = Operator {
+        record: record.clone(),
+        hosts: all.lock().unwrap().clone(),
+    };
+    let body = Config {
+        version: newest,
+        routes: &[(443, "orders")],
+        services: &["orders"],
+        idle_timeout_ms: 15_000,
+        padding: 20,
+    }
+    .body();
     let last = operator.order("PUT", "/config", &body, ms(10_000));
     if last != Some(200) {
         record.line("PROBLEM: a valid change is not acknowledged on a calm core");
     }
-    let expected = if last == Some(200) { newest } else { *acked.lock().unwrap() };
+    let expected = if last == Some(200) {
+        newest
+    } else {
+        *acked.lock().unwrap()
+    };
     let first = random.below(5) as usize;
     let second = (first + 1 + random.below(4) as usize) % 5;
-    for at in &slots { lab.kill(*at); }
+    for at in &slots {
+        lab.kill(*at);
+    }
     for slot in [first, second] {
         let folder = lab.data_dir(&lab.hosts[slots[slot]]);
         let _ = std::fs::remove_dir_all(folder);
@@ -659,21 +996,32 @@
     }
     sleep(ms(800));
     lab.seeds = slots.clone();
-    for at in &slots { lab.start(*at, false); }
+    for at in &slots {
+        lab.start(*at, false);
+    }
     let mut read = 0;
     let until = Instant::now() + ms(20_000);
     while Instant::now() < until && read < expected {
         for host in &operator.hosts {
             if let Some((200, body)) = operator.call_at(*host, "GET", "/config", b"") {
                 let text = String::from_utf8_lossy(&body[..40]).into_owned();
-                read = text.split(&[':', ','][..]).nth(1).and_then(|v| v.parse().ok()).unwrap_or(0);
+                read = text
+                    .split(&[':', ','][..])
+                    .nth(1)
+                    .and_then(|v| v.parse().ok())
+                    .unwrap_or(0);
             }
         }
         sleep(ms(100));
     }
-    record.line(format!("acknowledged {expected}, read back {read}, ended {:?}", lab.ended()));
+    record.line(format!(
+        "acknowledged {expected}, read back {read}, ended {:?}",
+        lab.ended()
+    ));
     let broken = read < expected || last != Some(200);
-    if broken { record.line(format!("PROBLEM: logs in {}", lab.dir.display())); let to = format!("/tmp/core-logs-{}", std::process::id()); let _ = std::process::Command::new("cp").args(["-r", &lab.dir.display().to_string(), &to]).status(); }
+    if broken {
+        record.line("PROBLEM: the configuration is lost");
+    }
     lab.end();
     i32::from(broken)
 }
@@ -689,13 +1037,19 @@
 
 fn version_in(body: &[u8]) -> u64 {
     let text = String::from_utf8_lossy(&body[..body.len().min(40)]).into_owned();
-    text.split(&[':', ','][..]).nth(1).and_then(|v| v.trim().parse().ok()).unwrap_or(0)
+    text.split(&[':', ','][..])
+        .nth(1)
+        .and_then(|v| v.trim().parse().ok())
+        .unwrap_or(0)
 }
 
 /// LOST: a core host is replaced as planned, and the leader loses its disk while the successor waits for its place;
 /// `catch_up_s` after the old host has left, a second disk is lost.
 pub fn late_successor(record: &Record, trouble: bool) -> i32 {
-    let terms = Terms { tolerated: 2, ..Terms::default() };
+    let terms = Terms {
+        tolerated: 2,
+        ..Terms::default()
+    };
     let mut lab = Lab::new(record.clone(), terms);
     for n in 0..5 {
         lab.add(Class::Core, 10 + n, ZONES[usize::from(n) % 3], "");
@@ -703,10 +1057,22 @@
     lab.start_all();
     sleep(ms(10_000));
     let mut members = lab.of(Class::Core);
-    let body = |version| Config { version, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms: 15_000, padding: 8 }.body();
+    let body = |version| {
+        Config {
+            version,
+            routes: &[(443, "orders")],
+            services: &["orders"],
+            idle_timeout_ms: 15_000,
+            padding: 8,
+        }
+        .body()
+    };
     let at_hosts = |lab: &Lab, members: &[usize]| Operator {
         record: record.clone(),
-        hosts: members.iter().map(|at| SocketAddrV4::new(lab.hosts[*at].ip, lab.ports.control)).collect(),
+        hosts: members
+            .iter()
+            .map(|at| SocketAddrV4::new(lab.hosts[*at].ip, lab.ports.control))
+            .collect(),
     };
     if at_hosts(&lab, &members).order("PUT", "/config", &body(3), ms(10_000)) != Some(200) {
         return NOT_RUN;
@@ -717,11 +1083,18 @@
         let new = lab.add(Class::Core, 20, ZONES[1], "");
         lab.start(new, false);
         sleep(ms(5_000));
-        let Some(first) = leader(&lab, &members) else { return NOT_RUN };
-        let Some(old) = members.iter().copied().rev().find(|at| *at != first) else { return NOT_RUN };
+        let Some(first) = leader(&lab, &members) else {
+            return NOT_RUN;
+        };
+        let Some(old) = members.iter().copied().rev().find(|at| *at != first) else {
+            return NOT_RUN;
+        };
         members.retain(|at| *at != old);
         members.push(new);
-        record.line(format!("{} leads; {} leaves, {} takes its place", lab.hosts[first].name, lab.hosts[old].name, lab.hosts[new].name));
+        record.line(format!(
+            "{} leads; {} leaves, {} takes its place",
+            lab.hosts[first].name, lab.hosts[old].name, lab.hosts[new].name
+        ));
         let left_at = Instant::now();
         lab.signal(old, crate::lab::SIGTERM);
         if !lab.wait(old, ms(6_000)) {
@@ -733,12 +1106,22 @@
         for (number, due) in [(1, ms(1_700)), (2, ms(4_100))] {
             sleep((left_at + due).saturating_duration_since(Instant::now()));
             version += 2;
-            let running: Vec<_> = members.iter().copied().filter(|at| lab.is_running(*at)).collect();
-            if at_hosts(&lab, &running).order("PUT", "/config", &body(version), ms(8_000)) != Some(200) {
-                record.line("a change has no ack; the case asks for one before the next disk is lost");
+            let running: Vec<_> = members
+                .iter()
+                .copied()
+                .filter(|at| lab.is_running(*at))
+                .collect();
+            if at_hosts(&lab, &running).order("PUT", "/config", &body(version), ms(8_000))
+                != Some(200)
+            {
+                record.line(
+                    "a change has no ack; the case asks for one before the next disk is lost",
+                );
                 return NOT_RUN;
             }
-            let Some(acted) = leader(&lab, &running) else { return NOT_RUN };
+            let Some(acted) = leader(&lab, &running) else {
+                return NOT_RUN;
+            };
             lab.kill(acted);
             let folder = lab.data_dir(&lab.hosts[acted]);
             let _ = std::fs::remove_dir_all(folder);
@@ -779,15 +1162,37 @@
 pub fn late_beat(record: &Record, trouble: bool) -> i32 {
     let mut lab = deployment(record, Terms::default(), 2, &["orders", "orders", "orders"]);
     let operator = Operator::of(&lab);
-    let config = Config { version: 3, routes: &[(443, "orders")], services: &["orders"], idle_timeout_ms: 15_000, padding: 0 }.body();
+    let config = Config {
+        version: 3,
+        routes: &[(443, "orders")],
+        services: &["orders"],
+        idle_timeout_ms: 15_000,
+        padding: 0,
+    }
+    .body();
     if operator.order("PUT", "/config", &config, ms(10_000)) != Some(200) {
         return NOT_RUN;
     }
     let sides = lab.of(Class::Side);
-    let mut servers: Vec<_> = sides.iter().map(|at| Server::start(&lab, *at, ServerOptions {
-        id: format!("i-{}", lab.hosts[*at].name), service: "orders", first_sequence: 1, work: ms(5), backs_off: std::env::var("BACKOFF").map_or(true, |b| b != "0"),
-    })).collect();
-    if !wait_for(ms(10_000), || servers.iter().all(Server::is_acknowledged)) || !lab.wait_ready(ms(10_000)) {
+    let mut servers: Vec<_> = sides
+        .iter()
+        .map(|at| {
+            Server::start(
+                &lab,
+                *at,
+                ServerOptions {
+                    id: format!("i-{}", lab.hosts[*at].name),
+                    service: "orders",
+                    first_sequence: 1,
+                    work: ms(5),
+                    backs_off: std::env::var("BACKOFF").map_or(true, |b| b != "0"),
+                },
+            )
+        })
+        .collect();
+    if !wait_for(ms(10_000), || servers.iter().all(Server::is_acknowledged))
+        || !lab.wait_ready(ms(10_000))
+    {
         return NOT_RUN;
     }
     sleep(ms(5_000));
@@ -795,11 +1200,22 @@
     let mut caller = Caller::new(&lab, 200);
     let mut flows = Vec::new();
     for _ in 0..90 {
-        let Some(mut flow) = open(&mut caller, via[1], 443) else { return NOT_RUN };
-        if !matches!(flow.request(via[1], "POST /first", ms(4_000)), Outcome::Answer(_)) {
+        let Some(mut flow) = open(&mut caller, via[1], 443) else {
+            return NOT_RUN;
+        };
+        if !matches!(
+            flow.request(via[1], "POST /first", ms(4_000)),
+            Outcome::Answer(_)
+        ) {
             return NOT_RUN;
         }
-        if servers[0].opened.lock().unwrap().iter().any(|o| o.1 == flow.own) {
+        if servers[0]
+            .opened
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|o| o.1 == flow.own)
+        {
             flows.push((Instant::now(), flow));
         }
     }
@@ -811,7 +1227,9 @@
             if at == sides[0] {
                 // Any moment would do; with this one the server's next report but one fails.
                 let last = servers[0].reports.lock().unwrap().last().map(|r| r.0);
-                sleep(last.map_or(ms(0), |last| (last + ms(970)).saturating_duration_since(Instant::now())));
+                sleep(last.map_or(ms(0), |last| {
+                    (last + ms(970)).saturating_duration_since(Instant::now())
+                }));
             }
             lab.signal(at, crate::lab::SIGTERM);
             if !lab.wait(at, ms(6_000)) {
@@ -823,25 +1241,44 @@
             sleep(ms(300));
         }
     }
-    let threads: Vec<_> = flows.into_iter().enumerate().map(|(n, (last, mut flow))| {
-        let (via, record) = (via[0], record.clone());
-        let due = started + ms(1_180 + 12 * n as u64);
-        std::thread::spawn(move || {
-            sleep(due.saturating_duration_since(Instant::now()));
-            let idle = last.elapsed();
-            let outcome = flow.request(via, "POST /second", ms(4_000));
-            record.line(format!("flow {n} from {}: idle for {:.1} s: {outcome:?}", flow.own, idle.as_secs_f64()));
-            (outcome == Outcome::Reset && idle < ms(15_000)).then_some(flow.own)
+    let threads: Vec<_> = flows
+        .into_iter()
+        .enumerate()
+        .map(|(n, (last, mut flow))| {
+            let (via, record) = (via[0], record.clone());
+            let due = started + ms(1_180 + 12 * n as u64);
+            std::thread::spawn(move || {
+                sleep(due.saturating_duration_since(Instant::now()));
+                let idle = last.elapsed();
+                let outcome = flow.request(via, "POST /second", ms(4_000));
+                record.line(format!(
+                    "flow {n} from {}: idle for {:.1} s: {outcome:?}",
+                    flow.own,
+                    idle.as_secs_f64()
+                ));
+                (outcome == Outcome::Reset && idle < ms(15_000)).then_some(flow.own)
+            })
         })
-    }).collect();
+        .collect();
     let count = threads.len();
-    let reset: Vec<_> = threads.into_iter().filter_map(|t| t.join().ok().flatten()).collect();
+    let reset: Vec<_> = threads
+        .into_iter()
+        .filter_map(|t| t.join().ok().flatten())
+        .collect();
     let broken = reset.len();
     let runs = servers[0].runs.lock().unwrap();
-    let run = reset.iter().filter(|own| runs.iter().any(|r| r.1 == **own && r.2.starts_with("POST /second"))).count();
+    let run = reset
+        .iter()
+        .filter(|own| {
+            runs.iter()
+                .any(|r| r.1 == **own && r.2.starts_with("POST /second"))
+        })
+        .count();
     drop(runs);
     record.line(format!("flows broken: {broken} of {count}; in {run} of these the server ran the request all the same"));
-    for s in &mut servers { s.crash(); }
+    for s in &mut servers {
+        s.crash();
+    }
     lab.end();
     if broken > 0 { RULE_BROKEN } else { HELD }
 }
--- a/review/standin-2/lab.rs
+++ b/review/standin-2/lab.rs
@@ -40,7 +40,9 @@
 
 impl Random {
     pub fn new() -> Self {
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let now = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         Self((now.as_nanos() as u64 ^ (u64::from(std::process::id()) << 40)) | 1)
     }
     pub fn next(&mut self) -> u64 {
@@ -64,7 +66,10 @@
 impl Record {
     pub fn create(path: &Path) -> Self {
         let file = File::create(path).expect("record.txt can be written");
-        Self { start: Instant::now(), file: Arc::new(Mutex::new(file)) }
+        Self {
+            start: Instant::now(),
+            file: Arc::new(Mutex::new(file)),
+        }
     }
     pub fn line(&self, text: impl AsRef<str>) {
         let at = self.start.elapsed().as_secs_f64();
@@ -171,7 +176,11 @@
 
 impl Default for Terms {
     fn default() -> Self {
-        Self { heartbeat_ms: 770, max_flow_s: 60, tolerated: 1 }
+        Self {
+            heartbeat_ms: 770,
+            max_flow_s: 60,
+            tolerated: 1,
+        }
     }
 }
 
@@ -209,13 +218,35 @@
 impl Lab {
     pub fn new(record: Record, terms: Terms) -> Self {
         let mut random = Random::new();
-        let dir = std::env::temp_dir().join(format!("review-2-{}-{:x}", std::process::id(), random.next()));
+        let dir = std::env::temp_dir().join(format!(
+            "review-2-{}-{:x}",
+            std::process::id(),
+            random.next()
+        ));
         fs::create_dir_all(&dir).expect("a temporary folder");
         let net = (100 + random.below(100) as u8, 1 + random.below(250) as u8);
-        let mut port = || free_port(net);
-        let ports = Ports { datagram: port(), ready: port(), control: port(), outbound: port(), app: port(), inner: port() };
-        record.line(format!("hosts at 127.{}.{}.*, {ports:?}, {terms:?}", net.0, net.1));
-        Self { record, ports, terms, hosts: Vec::new(), dir, seeds: Vec::new(), net }
+        let port = || free_port(net);
+        let ports = Ports {
+            datagram: port(),
+            ready: port(),
+            control: port(),
+            outbound: port(),
+            app: port(),
+            inner: port(),
+        };
+        record.line(format!(
+            "hosts at 127.{}.{}.*, {ports:?}, {terms:?}",
+            net.0, net.1
+        ));
+        Self {
+            record,
+            ports,
+            terms,
+            hosts: Vec::new(),
+            dir,
+            seeds: Vec::new(),
+            net,
+        }
     }
 
     pub fn address(&self, host: u8) -> Ipv4Addr {
@@ -223,15 +254,31 @@
     }
 
     /// Adds a host; its number is the last byte of its address.
-    pub fn add(&mut self, class: Class, number: u8, zone: &'static str, service: &'static str) -> usize {
+    pub fn add(
+        &mut self,
+        class: Class,
+        number: u8,
+        zone: &'static str,
+        service: &'static str,
+    ) -> usize {
         let name = format!("{class:?}-{number}").to_lowercase();
         let ip = self.address(number);
-        self.hosts.push(Host { name, class, ip, zone, service, child: None, starts: 0 });
+        self.hosts.push(Host {
+            name,
+            class,
+            ip,
+            zone,
+            service,
+            child: None,
+            starts: 0,
+        });
         self.hosts.len() - 1
     }
 
     pub fn of(&self, class: Class) -> Vec<usize> {
-        (0..self.hosts.len()).filter(|i| self.hosts[*i].class == class).collect()
+        (0..self.hosts.len())
+            .filter(|i| self.hosts[*i].class == class)
+            .collect()
     }
 
     fn settings(&self, host: &Host, bootstrap: bool) -> String {
@@ -243,7 +290,10 @@
             Class::Core => ("control", "control"),
         };
         let listen = match class {
-            Class::Front => format!("  datagram_addr: \"{ip}:{}\"\n  ready_addr: \"{ip}:{}\"\n", p.datagram, p.ready),
+            Class::Front => format!(
+                "  datagram_addr: \"{ip}:{}\"\n  ready_addr: \"{ip}:{}\"\n",
+                p.datagram, p.ready
+            ),
             Class::Side => format!(
                 "  datagram_addr: \"{ip}:{}\"\n  outbound: \"{ip}:{}\"\n  ready_addr: \"{ip}:{}\"\n  control: \"{ip}:{}\"\n",
                 p.datagram, p.outbound, p.ready, p.control
@@ -258,8 +308,11 @@
         if !bootstrap && !self.seeds.is_empty() {
             seeds = self.seeds.clone();
         }
-        let seeds: String = seeds.iter().take(3)
-            .map(|i| format!("  - \"{}:{}\"\n", self.hosts[*i].ip, p.control)).collect();
+        let seeds: String = seeds
+            .iter()
+            .take(3)
+            .map(|i| format!("  - \"{}:{}\"\n", self.hosts[*i].ip, p.control))
+            .collect();
         let data_dir = match class {
             Class::Core => format!("\"{}\"", self.data_dir(host).display()),
             _ => "null".to_owned(),
@@ -276,9 +329,15 @@
              drain_ms: 3000\n  grace_s: 6\n  loss_slack_ms: 200\n  config_apply_ms: 3000\n  rollback_slack_ms: 250\n  \
              max_stretch_ms: 12000\n  cold_overage: 1.5\n  cold_slack: 5\n  evacuate_ms: 5000\n  recovery_s: 12\n  \
              flow_reorder_ms: 2000\n  max_flow_s: {max_flow}\nconfig_mode: \"highest\"\nhash: \"mod\"\nforwarding_mode: \"agent\"\n{own_server}",
-            name = host.name, role = role.0, serves = role.1, zone = host.zone,
-            machine = format!("{class:?}").to_lowercase(), inner = p.inner,
-            beat = self.terms.heartbeat_ms, tolerated = self.terms.tolerated, max_flow = self.terms.max_flow_s,
+            name = host.name,
+            role = role.0,
+            serves = role.1,
+            zone = host.zone,
+            machine = format!("{class:?}").to_lowercase(),
+            inner = p.inner,
+            beat = self.terms.heartbeat_ms,
+            tolerated = self.terms.tolerated,
+            max_flow = self.terms.max_flow_s,
         )
     }
 
@@ -294,16 +353,29 @@
         if self.hosts[at].class == Class::Core {
             let _ = fs::create_dir_all(self.data_dir(&self.hosts[at]));
         }
-        let log = File::options().create(true).append(true)
-            .open(self.dir.join(format!("{}.log", self.hosts[at].name))).expect("a log file");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.dir.join(format!("{}.log", self.hosts[at].name)))
+            .expect("a log file");
         let errors = log.try_clone().expect("a log file");
-        let child = Command::new("target/release/dogwoodrill").arg("node")
+        let child = Command::new("target/release/dogwoodrill")
+            .arg("node")
             .env("DOGWOODRILL_NODE_FILE", &file)
-            .stdin(Stdio::null()).stdout(log).stderr(errors)
-            .spawn().expect("the program of the deploy file starts");
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .spawn()
+            .expect("the program of the deploy file starts");
         let host = &mut self.hosts[at];
         host.starts += 1;
-        self.record.line(format!("start {} at {} as process {} (start {}, bootstrap {bootstrap})", host.name, host.ip, child.id(), host.starts));
+        self.record.line(format!(
+            "start {} at {} as process {} (start {}, bootstrap {bootstrap})",
+            host.name,
+            host.ip,
+            child.id(),
+            host.starts
+        ));
         host.child = Some(child);
     }
 
@@ -314,9 +386,14 @@
     }
 
     pub fn signal(&mut self, at: usize, signal: i32) {
-        let Some(child) = &self.hosts[at].child else { return };
+        let Some(child) = &self.hosts[at].child else {
+            return;
+        };
         let pid = child.id() as i32;
-        self.record.line(format!("signal {signal} to {} (process {pid})", self.hosts[at].name));
+        self.record.line(format!(
+            "signal {signal} to {} (process {pid})",
+            self.hosts[at].name
+        ));
         unsafe { kill(pid, signal) };
     }
 
@@ -334,7 +411,8 @@
         while Instant::now() < until {
             match self.hosts[at].child.as_mut().map(Child::try_wait) {
                 Some(Ok(Some(status))) => {
-                    self.record.line(format!("{} ended: {status}", self.hosts[at].name));
+                    self.record
+                        .line(format!("{} ended: {status}", self.hosts[at].name));
                     self.hosts[at].child = None;
                     return true;
                 }
@@ -403,7 +481,13 @@
 }
 
 /// One HTTP call. Returns the status, the headers and the body; `None` without an answer in time.
-pub fn http(to: SocketAddrV4, method: &str, path: &str, body: &[u8], limit: Duration) -> Option<(u16, String, Vec<u8>)> {
+pub fn http(
+    to: SocketAddrV4,
+    method: &str,
+    path: &str,
+    body: &[u8],
+    limit: Duration,
+) -> Option<(u16, String, Vec<u8>)> {
     let until = Instant::now() + limit;
     let mut stream = TcpStream::connect_timeout(&SocketAddr::V4(to), limit).ok()?;
     let head = format!(
@@ -441,19 +525,42 @@
 
 impl Operator {
     pub fn of(lab: &Lab) -> Self {
-        let hosts = lab.of(Class::Core).iter().map(|i| SocketAddrV4::new(lab.hosts[*i].ip, lab.ports.control)).collect();
-        Self { record: lab.record.clone(), hosts }
+        let hosts = lab
+            .of(Class::Core)
+            .iter()
+            .map(|i| SocketAddrV4::new(lab.hosts[*i].ip, lab.ports.control))
+            .collect();
+        Self {
+            record: lab.record.clone(),
+            hosts,
+        }
     }
 
     /// One call to `to`, which follows a redirection twice.
-    pub fn call_at(&self, to: SocketAddrV4, method: &str, path: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
+    pub fn call_at(
+        &self,
+        to: SocketAddrV4,
+        method: &str,
+        path: &str,
+        body: &[u8],
+    ) -> Option<(u16, Vec<u8>)> {
         let mut to = to;
         for _ in 0..3 {
-            let (status, head, answer) = http(to, method, path, body, ms(if body.len() > 50_000 { 3000 } else { 1000 }))?;
+            let (status, head, answer) = http(
+                to,
+                method,
+                path,
+                body,
+                ms(if body.len() > 50_000 { 3000 } else { 1000 }),
+            )?;
             if status != 307 {
                 return Some((status, answer));
             }
-            let location = head.lines().find_map(|l| l.to_ascii_lowercase().strip_prefix("location: http://").map(str::to_owned))?;
+            let location = head.lines().find_map(|l| {
+                l.to_ascii_lowercase()
+                    .strip_prefix("location: http://")
+                    .map(str::to_owned)
+            })?;
             to = location.split('/').next()?.parse().ok()?;
         }
         None
@@ -468,9 +575,14 @@
             n += 1;
             let answer = self.call_at(to, method, path, body);
             let status = answer.as_ref().map(|a| a.0);
-            self.record.line(format!("operator: {method} {path} ({} bytes) to {to}: {status:?}", body.len()));
+            self.record.line(format!(
+                "operator: {method} {path} ({} bytes) to {to}: {status:?}",
+                body.len()
+            ));
             match status {
-                Some(s) if (200..300).contains(&s) || [400, 409, 412, 413, 422].contains(&s) => return Some(s),
+                Some(s) if (200..300).contains(&s) || [400, 409, 412, 413, 422].contains(&s) => {
+                    return Some(s);
+                }
                 _ => sleep(ms(100)),
             }
         }
@@ -495,12 +607,10 @@
 
 /// A backend server beside an agent.
 pub struct Server {
-    pub id: String,
     pub runs: Runs,
     pub reports: Arc<Mutex<Vec<(Instant, u64, bool)>>>,
     stop: Arc<AtomicBool>,
     pub sequence: Arc<AtomicU64>,
-    pub draining: Arc<AtomicBool>,
     pub opened: Arc<Mutex<Vec<(Instant, SocketAddrV4)>>>,
     born: u128,
     threads: Vec<thread::JoinHandle<()>>,
@@ -521,7 +631,6 @@
         let host = &lab.hosts[at];
         let (ip, ports, zone) = (host.ip, lab.ports, host.zone);
         let stop = Arc::new(AtomicBool::new(false));
-        let draining = Arc::new(AtomicBool::new(false));
         let sequence = Arc::new(AtomicU64::new(options.first_sequence));
         let runs: Runs = Arc::default();
         let opened: Arc<Mutex<Vec<_>>> = Arc::default();
@@ -529,14 +638,28 @@
         let app = SocketAddrV4::new(ip, ports.app);
         let socket = UdpSocket::bind(app).expect("the server's port is free");
         let health = TcpListener::bind(app).expect("the server's port is free");
-        lab.record.line(format!("server {} ({}) starts at {app}", options.id, options.service));
+        lab.record.line(format!(
+            "server {} ({}) starts at {app}",
+            options.id, options.service
+        ));
         let mut threads = Vec::new();
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default()
+            .as_millis();
         {
             let (stop, record, options) = (stop.clone(), lab.record.clone(), options.clone());
             let (runs, opened) = (runs.clone(), opened.clone());
             threads.push(thread::spawn(move || {
-                serve_flows(&socket, SocketAddrV4::new(ip, ports.outbound), &stop, &record, &options, &runs, &opened);
+                serve_flows(
+                    &socket,
+                    SocketAddrV4::new(ip, ports.outbound),
+                    &stop,
+                    &record,
+                    &options,
+                    &runs,
+                    &opened,
+                );
             }));
         }
         {
@@ -559,8 +682,13 @@
             }));
         }
         {
-            let (stop, record, options, sequence) = (stop.clone(), lab.record.clone(), options.clone(), sequence.clone());
-            let (reports, draining) = (reports.clone(), draining.clone());
+            let (stop, record, options, sequence) = (
+                stop.clone(),
+                lab.record.clone(),
+                options.clone(),
+                sequence.clone(),
+            );
+            let reports = reports.clone();
             let beat = ms(lab.terms.heartbeat_ms);
             threads.push(thread::spawn(move || {
                 let mut due = Instant::now();
@@ -572,20 +700,44 @@
                     }
                     due = due.max(Instant::now() - beat) + beat;
                     let number = sequence.fetch_add(1, Ordering::Relaxed);
-                    let state = if draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
+                    let state = "ready";
                     let body = report_body(options.service, app, zone, state, number, born);
-                    let answer = http(SocketAddrV4::new(ip, ports.control), "PUT", &format!("/instances/{}", options.id), body.as_bytes(), ms(1000));
+                    let answer = http(
+                        SocketAddrV4::new(ip, ports.control),
+                        "PUT",
+                        &format!("/instances/{}", options.id),
+                        body.as_bytes(),
+                        ms(1000),
+                    );
                     let status = answer.map(|a| a.0);
-                    failed = if status == Some(200) { 0 } else { (failed + 1).min(3) };
+                    failed = if status == Some(200) {
+                        0
+                    } else {
+                        (failed + 1).min(3)
+                    };
                     if options.backs_off && failed > 0 {
                         due = Instant::now() + beat * 2_u32.pow(failed);
                     }
-                    reports.lock().unwrap().push((Instant::now(), number, status == Some(200)));
-                    record.line(format!("server {}: report {number} {state}: {status:?}", options.id));
+                    reports
+                        .lock()
+                        .unwrap()
+                        .push((Instant::now(), number, status == Some(200)));
+                    record.line(format!(
+                        "server {}: report {number} {state}: {status:?}",
+                        options.id
+                    ));
                 }
             }));
         }
-        Self { id: options.id, runs, reports, stop, sequence, draining, opened, born, threads }
+        Self {
+            runs,
+            reports,
+            stop,
+            sequence,
+            opened,
+            born,
+            threads,
+        }
     }
 
     /// Ends the server as a crash does: without a word.
@@ -600,7 +752,14 @@
     pub fn next_report(&self, lab: &Lab, at: usize) -> String {
         let host = &lab.hosts[at];
         let number = self.sequence.fetch_add(1, Ordering::Relaxed);
-        report_body(host.service, SocketAddrV4::new(host.ip, lab.ports.app), host.zone, "ready", number, self.born)
+        report_body(
+            host.service,
+            SocketAddrV4::new(host.ip, lab.ports.app),
+            host.zone,
+            "ready",
+            number,
+            self.born,
+        )
     }
 
     pub fn is_acknowledged(&self) -> bool {
@@ -608,19 +767,33 @@
     }
 }
 
-fn report_body(service: &str, app: SocketAddrV4, zone: &str, state: &str, sequence: u64, born: u128) -> String {
+fn report_body(
+    service: &str,
+    app: SocketAddrV4,
+    zone: &str,
+    state: &str,
+    sequence: u64,
+    born: u128,
+) -> String {
     format!(
         "{{\"service\":\"{service}\",\"address\":\"{app}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"max_concurrent\":2,\"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{born}}}"
     )
 }
 
 fn request_end(data: &[u8]) -> Option<usize> {
-    data.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4)
+    data.windows(4)
+        .position(|w| w == b"\r\n\r\n")
+        .map(|at| at + 4)
 }
 
 fn serve_flows(
-    socket: &UdpSocket, outbound: SocketAddrV4, stop: &AtomicBool, record: &Record, options: &ServerOptions,
-    runs: &Runs, opened: &Mutex<Vec<(Instant, SocketAddrV4)>>,
+    socket: &UdpSocket,
+    outbound: SocketAddrV4,
+    stop: &AtomicBool,
+    record: &Record,
+    options: &ServerOptions,
+    runs: &Runs,
+    opened: &Mutex<Vec<(Instant, SocketAddrV4)>>,
 ) {
     let mut random = Random::new();
     let mut flows: HashMap<(SocketAddrV4, SocketAddrV4), ServerFlow> = HashMap::new();
@@ -636,10 +809,21 @@
             {
                 flow.answer_at = None;
                 let body = format!("{id} ran {text}");
-                let data = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\nResponse-Signature: {id}\r\n\r\n{body}", body.len());
+                let data = format!(
+                    "HTTP/1.1 200 OK\r\nContent-Length: {}\r\nResponse-Signature: {id}\r\n\r\n{body}",
+                    body.len()
+                );
                 let p = Packet {
-                    src: *service, dst: *caller, flags: ACK, seq: flow.next, ack: flow.peer_next, sum: 0, echo: [0; 4], data: data.into_bytes(),
-                }.signed();
+                    src: *service,
+                    dst: *caller,
+                    flags: ACK,
+                    seq: flow.next,
+                    ack: flow.peer_next,
+                    sum: 0,
+                    echo: [0; 4],
+                    data: data.into_bytes(),
+                }
+                .signed();
                 flow.next = flow.next.wrapping_add(p.data.len() as u32);
                 send(&p);
                 flow.unacked = Some((p, now + ms(200), ms(200)));
@@ -652,10 +836,16 @@
                 *at = now + *pause;
             }
         }
-        let Ok((n, _)) = socket.recv_from(&mut buf) else { continue };
-        let Some(p) = Packet::decode(&buf[..n]) else { continue };
+        let Ok((n, _)) = socket.recv_from(&mut buf) else {
+            continue;
+        };
+        let Some(p) = Packet::decode(&buf[..n]) else {
+            continue;
+        };
         if !p.is_genuine() {
-            record.line(format!("server {id}: a packet that its sender didn't write so: {p:?}"));
+            record.line(format!(
+                "server {id}: a packet that its sender didn't write so: {p:?}"
+            ));
             runs.lock().unwrap().push((now, p.src, "UNASKED".into()));
             continue;
         }
@@ -664,27 +854,46 @@
             let flow = flows.entry(key).or_insert_with(|| {
                 let own = random.next() as u32;
                 ServerFlow {
-                    own_seq: own, peer_next: p.seq.wrapping_add(1), next: own.wrapping_add(1),
-                    is_open: false, ended: false, unacked: None, answer_at: None,
+                    own_seq: own,
+                    peer_next: p.seq.wrapping_add(1),
+                    next: own.wrapping_add(1),
+                    is_open: false,
+                    ended: false,
+                    unacked: None,
+                    answer_at: None,
                 }
             });
             if flow.is_open {
                 continue;
             }
             let answer = Packet {
-                src: p.dst, dst: p.src, flags: SYN | ACK, seq: flow.own_seq, ack: flow.peer_next, sum: 0, echo: [0; 4], data: vec![],
-            }.signed();
+                src: p.dst,
+                dst: p.src,
+                flags: SYN | ACK,
+                seq: flow.own_seq,
+                ack: flow.peer_next,
+                sum: 0,
+                echo: [0; 4],
+                data: vec![],
+            }
+            .signed();
             send(&answer);
             flow.unacked = Some((answer, now + ms(200), ms(200)));
             continue;
         }
-        let Some(flow) = flows.get_mut(&key).filter(|f| f.is_open || p.ack.wrapping_sub(f.own_seq) <= 1 << 20) else {
+        let Some(flow) = flows
+            .get_mut(&key)
+            .filter(|f| f.is_open || p.ack.wrapping_sub(f.own_seq) <= 1 << 20)
+        else {
             if !p.has(RST) {
                 let mut bounced = buf[..n].to_vec();
                 bounced[30] |= BOUNCED;
                 bounced[31..36].fill(0);
                 let _ = socket.send_to(&bounced, outbound);
-                record.line(format!("server {id}: hands back a packet of {} > {}", p.src, p.dst));
+                record.line(format!(
+                    "server {id}: hands back a packet of {} > {}",
+                    p.src, p.dst
+                ));
             }
             continue;
         };
@@ -694,7 +903,10 @@
             record.line(format!("server {id}: flow {} > {} is open", p.src, p.dst));
         }
         if flow.unacked.as_ref().is_some_and(|(u, _, _)| {
-            let end = u.seq.wrapping_add(u.data.len() as u32).wrapping_add(u32::from(u.has(SYN)));
+            let end = u
+                .seq
+                .wrapping_add(u.data.len() as u32)
+                .wrapping_add(u32::from(u.has(SYN)));
             p.ack.wrapping_sub(end).cast_signed() >= 0
         }) {
             flow.unacked = None;
@@ -706,15 +918,32 @@
             if p.seq == flow.peer_next {
                 flow.peer_next = flow.peer_next.wrapping_add(p.data.len() as u32);
                 if let Some(end) = request_end(&p.data) {
-                    let text = String::from_utf8_lossy(&p.data[..end]).lines().next().unwrap_or_default().to_owned();
-                    record.line(format!("server {id}: runs {text:?} of {} > {}", p.src, p.dst));
+                    let text = String::from_utf8_lossy(&p.data[..end])
+                        .lines()
+                        .next()
+                        .unwrap_or_default()
+                        .to_owned();
+                    record.line(format!(
+                        "server {id}: runs {text:?} of {} > {}",
+                        p.src, p.dst
+                    ));
                     runs.lock().unwrap().push((now, p.src, text.clone()));
                     flow.answer_at = Some((now + options.work, text));
                 }
             }
-            send(&Packet {
-                src: p.dst, dst: p.src, flags: ACK, seq: flow.next, ack: flow.peer_next, sum: 0, echo: [0; 4], data: vec![],
-            }.signed());
+            send(
+                &Packet {
+                    src: p.dst,
+                    dst: p.src,
+                    flags: ACK,
+                    seq: flow.next,
+                    ack: flow.peer_next,
+                    sum: 0,
+                    echo: [0; 4],
+                    data: vec![],
+                }
+                .signed(),
+            );
         }
     }
 }
@@ -754,7 +983,8 @@
 impl Caller {
     pub fn new(lab: &Lab, number: u8) -> Self {
         let ip = lab.address(number);
-        let socket = Arc::new(UdpSocket::bind((ip, lab.ports.datagram)).expect("the caller's port is free"));
+        let socket =
+            Arc::new(UdpSocket::bind((ip, lab.ports.datagram)).expect("the caller's port is free"));
         let inbox: Arc<Mutex<HashMap<u16, Vec<Packet>>>> = Arc::default();
         {
             let (socket, inbox) = (socket.clone(), Arc::downgrade(&inbox));
@@ -766,12 +996,24 @@
                     if let Ok((n, _)) = socket.recv_from(&mut buf)
                         && let Some(p) = Packet::decode(&buf[..n])
                     {
-                        inbox.lock().unwrap().entry(p.dst.port()).or_default().push(p);
+                        inbox
+                            .lock()
+                            .unwrap()
+                            .entry(p.dst.port())
+                            .or_default()
+                            .push(p);
                     }
                 }
             });
         }
-        Self { ip, socket, inbox, record: lab.record.clone(), random: Random::new(), next_port: 20_000 }
+        Self {
+            ip,
+            socket,
+            inbox,
+            record: lab.record.clone(),
+            random: Random::new(),
+            next_port: 20_000,
+        }
     }
 
     /// Opens a flow through the balancer at `via`, as the pages say: copies after 200 and 600 ms.
@@ -779,52 +1021,94 @@
         self.next_port += 1;
         let own = SocketAddrV4::new(self.ip, self.next_port);
         let mut flow = Flow {
-            own, service, seq: self.random.next() as u32, ack: 0,
-            socket: self.socket.clone(), inbox: self.inbox.clone(), record: self.record.clone(),
+            own,
+            service,
+            seq: self.random.next() as u32,
+            ack: 0,
+            socket: self.socket.clone(),
+            inbox: self.inbox.clone(),
+            record: self.record.clone(),
         };
         let began = Instant::now();
         for (copy, until) in [(0, 200), (1, 600), (2, 1400)] {
-            let syn = Packet { src: own, dst: service, flags: SYN, seq: flow.seq, ack: copy, sum: 0, echo: [0; 4], data: vec![] }.signed();
+            let syn = Packet {
+                src: own,
+                dst: service,
+                flags: SYN,
+                seq: flow.seq,
+                ack: copy,
+                sum: 0,
+                echo: [0; 4],
+                data: vec![],
+            }
+            .signed();
             let _ = self.socket.send_to(&syn.encode(), via);
             while began.elapsed() < ms(until) {
                 for p in flow.take() {
                     if p.has(SYN | ACK) && p.is_genuine() {
                         flow.seq = flow.seq.wrapping_add(1);
                         flow.ack = p.seq.wrapping_add(1);
-                        self.record.line(format!("caller: flow {own} > {service} opened through {via}"));
+                        self.record.line(format!(
+                            "caller: flow {own} > {service} opened through {via}"
+                        ));
                         return Ok(flow);
                     }
                     if p.has(RST) {
-                        self.record.line(format!("caller: flow {own} > {service} refused"));
+                        self.record
+                            .line(format!("caller: flow {own} > {service} refused"));
                         return Err(Outcome::Reset);
                     }
                 }
                 sleep(ms(1));
             }
         }
-        self.record.line(format!("caller: flow {own} > {service} did not open"));
+        self.record
+            .line(format!("caller: flow {own} > {service} did not open"));
         Err(Outcome::Silence)
     }
 }
 
 impl Flow {
     fn take(&self) -> Vec<Packet> {
-        self.inbox.lock().unwrap().remove(&self.own.port()).unwrap_or_default()
+        self.inbox
+            .lock()
+            .unwrap()
+            .remove(&self.own.port())
+            .unwrap_or_default()
     }
 
     /// Whether a reset that the system sent has arrived since the last look.
     fn is_system_reset(&self, p: &Packet) -> bool {
-        p.has(RST) && p.sum == 0 && p.seq.wrapping_sub(self.ack).cast_signed().unsigned_abs() <= 76_800
+        p.has(RST)
+            && p.sum == 0
+            && p.seq.wrapping_sub(self.ack).cast_signed().unsigned_abs() <= 76_800
     }
 
     /// Sends a request through the balancer at `via` and waits for its answer until the time limit.
     pub fn request(&mut self, via: SocketAddrV4, text: &str, limit: Duration) -> Outcome {
-        let data = format!("{text} HTTP/1.1\r\nRequest-Id: {}-{text}\r\n\r\n", self.own.port()).into_bytes();
-        let p = Packet { src: self.own, dst: self.service, flags: ACK, seq: self.seq, ack: self.ack, sum: 0, echo: [0; 4], data }.signed();
+        let data = format!(
+            "{text} HTTP/1.1\r\nRequest-Id: {}-{text}\r\n\r\n",
+            self.own.port()
+        )
+        .into_bytes();
+        let p = Packet {
+            src: self.own,
+            dst: self.service,
+            flags: ACK,
+            seq: self.seq,
+            ack: self.ack,
+            sum: 0,
+            echo: [0; 4],
+            data,
+        }
+        .signed();
         self.seq = self.seq.wrapping_add(p.data.len() as u32);
         let until = Instant::now() + limit;
         let (mut pause, mut due) = (ms(200), Instant::now());
-        self.record.line(format!("caller: {text:?} on {} > {} through {via}", self.own, self.service));
+        self.record.line(format!(
+            "caller: {text:?} on {} > {} through {via}",
+            self.own, self.service
+        ));
         let mut is_acknowledged = false;
         while Instant::now() < until {
             if Instant::now() >= due && !is_acknowledged {
@@ -834,30 +1118,52 @@
             }
             for q in self.take() {
                 if self.is_system_reset(&q) {
-                    self.record.line(format!("caller: {} > {}: reset by the system (sum 0, seq {:#x}, last ack {:#x})", self.own, self.service, q.seq, self.ack));
+                    self.record.line(format!(
+                        "caller: {} > {}: reset by the system (sum 0, seq {:#x}, last ack {:#x})",
+                        self.own, self.service, q.seq, self.ack
+                    ));
                     return Outcome::Reset;
                 }
                 if !q.is_genuine() {
                     continue;
                 }
                 if q.has(RST) {
-                    self.record.line(format!("caller: {} > {}: reset by the server", self.own, self.service));
+                    self.record.line(format!(
+                        "caller: {} > {}: reset by the server",
+                        self.own, self.service
+                    ));
                     return Outcome::ServerReset;
                 }
                 is_acknowledged |= q.ack == self.seq;
                 if !q.data.is_empty() && q.seq == self.ack {
                     self.ack = self.ack.wrapping_add(q.data.len() as u32);
-                    let ack = Packet { src: self.own, dst: self.service, flags: ACK, seq: self.seq, ack: self.ack, sum: 0, echo: [0; 4], data: vec![] }.signed();
+                    let ack = Packet {
+                        src: self.own,
+                        dst: self.service,
+                        flags: ACK,
+                        seq: self.seq,
+                        ack: self.ack,
+                        sum: 0,
+                        echo: [0; 4],
+                        data: vec![],
+                    }
+                    .signed();
                     let _ = self.socket.send_to(&ack.encode(), via);
                     let text = String::from_utf8_lossy(&q.data).into_owned();
                     let body = text.split("\r\n\r\n").nth(1).unwrap_or_default().to_owned();
-                    self.record.line(format!("caller: {} > {}: answered {body:?}", self.own, self.service));
+                    self.record.line(format!(
+                        "caller: {} > {}: answered {body:?}",
+                        self.own, self.service
+                    ));
                     return Outcome::Answer(body);
                 }
             }
             sleep(ms(1));
         }
-        self.record.line(format!("caller: {} > {}: no answer in {limit:?}", self.own, self.service));
+        self.record.line(format!(
+            "caller: {} > {}: no answer in {limit:?}",
+            self.own, self.service
+        ));
         Outcome::Silence
     }
 }
