Repeat an election early after a split vote

With two of five voters lost, all others are needed for a majority. Two that campaigned together then waited for one to two election timeouts, and the successor of a lost host with them. A candidate that a voter refuses, although a majority granted the pre-vote, now campaigns again within an election timeout. A candidate repeats its request to a voter whose log is behind, which was down when the campaign began.

--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -1,9 +1,10 @@
 //! Terms, votes and election campaigns.
 
 use std::collections::BTreeSet;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use dogwoodrill_core::ids::{LogIndex, Term};
+use rand::Rng;
 
 use super::{Node, Role};
 use crate::entry::HardState;
@@ -135,6 +136,28 @@
         }
         let response_term = if granted { term } else { self.term() };
         self.respond_vote(from, response_term, kind, granted);
+        if !is_up_to_date {
+            self.repeat_vote_request(from);
+        }
+    }
+
+    /// Asks a member whose log is behind again for its vote, if this member campaigns: the member may have been down when
+    /// the campaign began.
+    fn repeat_vote_request(&mut self, to: MemberId) {
+        let Role::Candidate(candidate) = &self.role else {
+            return;
+        };
+        let kind = candidate.kind;
+        let term = self.requested_term(kind);
+        self.send_after_sync(to, term, self.vote_request(kind));
+    }
+
+    /// Returns the term that a campaign requests votes for.
+    fn requested_term(&self, kind: VoteKind) -> Term {
+        match kind {
+            VoteKind::PreVote => self.term().next(),
+            VoteKind::Vote => self.term(),
+        }
     }
 
     fn can_vote_for(&self, candidate: MemberId) -> bool {
@@ -154,19 +177,30 @@
         kind: VoteKind,
         granted: bool,
     ) {
-        let requested_term = match kind {
-            VoteKind::PreVote => self.term().next(),
-            VoteKind::Vote => self.term(),
-        };
+        let requested_term = self.requested_term(kind);
         let Role::Candidate(candidate) = &mut self.role else {
             return;
         };
-        if candidate.kind == kind && granted && term == requested_term {
+        if candidate.kind != kind || term != requested_term {
+            return;
+        }
+        if granted {
             candidate.supporters.insert(from);
             self.count_votes(now);
+        } else if kind == VoteKind::Vote {
+            self.retry_election(now);
         }
     }
 
+    /// Lets this member campaign again early, because another candidate splits the votes. Both were granted pre-votes by a
+    /// majority, so no leader is worth waiting for; the time is random over a whole election timeout.
+    fn retry_election(&mut self, now: Instant) {
+        let timeout = self.options.election_timeout.as_micros();
+        let delay = self.rng.random_range(0..=timeout);
+        let delay = Duration::from_micros(u64::try_from(delay).unwrap_or(u64::MAX));
+        self.election_at = self.election_at.min(now + delay);
+    }
+
     fn count_votes(&mut self, now: Instant) {
         let Role::Candidate(candidate) = &self.role else {
             return;
