Test a core of two versions and reports about members that respond

During an upgrade some hosts neither send nor read which members are silent. A successor may then get its place as late as before, but no host loses its place, and the number of voters is even for no longer. A leader ignores what others report about itself and about members that respond to it.

--- a/crates/consensus/tests/testsuite/membership.rs
+++ b/crates/consensus/tests/testsuite/membership.rs
@@ -1,8 +1,12 @@
 //! Replacement of a host and isolation of a leader.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
-use dogwoodrill_consensus::{MemberId, MemberRole, RoleName};
+use dogwoodrill_consensus::{
+    AppendOutcome, Envelope, MemberId, MemberRole, Message, RoleName, Round, Silence,
+};
+use dogwoodrill_core::ids::LogIndex;
 use insta::assert_snapshot;
 
 use crate::simulation::{RELIABLE, Sabotage, Simulation};
@@ -347,6 +351,46 @@
     }
 }
 
+/// Guards against a leader that takes the word of another member about itself, or about a member that responds to it.
+#[test]
+fn a_leader_does_not_replace_itself_or_a_member_that_responds_because_another_reports_silence() {
+    let mut simulation = healthy_cluster(3, 9);
+    let leader = simulation.leader().unwrap();
+    let mut reporters = simulation.ids();
+    reporters.retain(|id| *id != leader);
+    simulation.add_spare();
+    for step in 0..2 * SILENT_STEPS {
+        for from in reporters.clone() {
+            let others = simulation.ids().into_iter().filter(|id| *id != from);
+            let silent = others.map(|member| Silence {
+                member,
+                duration: Duration::from_hours(1),
+            });
+            let message = Message::AppendResponse {
+                round: Round(u64::MAX),
+                outcome: AppendOutcome::Synced(LogIndex::default()),
+                silent: silent.collect(),
+            };
+            simulation.deliver_now(Envelope {
+                from,
+                to: leader,
+                term: simulation.status(leader).term,
+                message,
+            });
+        }
+        if step.is_multiple_of(10) {
+            simulation.request_joins().unwrap();
+        }
+        simulation.step().unwrap();
+    }
+    assert_eq!(simulation.leader(), Some(leader));
+    assert_snapshot!(members(&simulation), @"
+    host 0000000000000001 on node 1: voter
+    host 0000000000000002 on node 2: voter
+    host 0000000000000003 on node 3: voter
+    ");
+}
+
 /// A spare host also sends join requests to followers, which receive messages only from the leader and
 /// see all other members as unreachable. A follower that becomes leader must not replace a member because
 /// of that.
--- a/crates/consensus/tests/testsuite/replacement_orders.rs
+++ b/crates/consensus/tests/testsuite/replacement_orders.rs
@@ -103,6 +103,13 @@
     DeliverMessages,
 }
 
+/// Whether some hosts do not know which members are silent, as in the version before.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Versions {
+    Same,
+    Mixed,
+}
+
 /// How a host is disturbed for less than `replace_after`.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Outage {
@@ -165,6 +172,14 @@
         }
     }
 
+    /// Gives every second host the version before.
+    fn mix(&mut self, versions: Versions) {
+        if versions == Versions::Mixed {
+            let ids = self.simulation.ids();
+            self.simulation.without_silence = ids.into_iter().step_by(2).collect();
+        }
+    }
+
     /// Removes as many followers as may be lost at once, or the leader and one fewer; their successors request to join.
     fn replace_together(&mut self, with_leader: bool) {
         let leader = self.simulation.leader().unwrap();
@@ -392,8 +407,12 @@
             self.lose_leader(LeaderLoses::Disk);
         }
         self.steps(EMPTY_DISK_STEPS.max(POWER_STEPS))?;
+        self.check_within(RECOVERY_STEPS)
+    }
+
+    fn check_within(&mut self, steps: u64) -> Checked {
         let mut checked = self.check();
-        for _ in 0..RECOVERY_STEPS / CHECK_STEPS {
+        for _ in 0..steps / CHECK_STEPS {
             if checked.is_ok() {
                 break;
             }
@@ -542,14 +561,38 @@
 fn a_host_that_is_up_between_two_outages_keeps_its_place_though_the_leader_is_lost(
     #[values(3, 5)] members: u64,
     #[values(Outage::Down, Outage::CutOff, Outage::Slow)] outage: Outage,
+    #[values(Versions::Same, Versions::Mixed)] versions: Versions,
 ) {
     for at in (1..2 * OUTAGE_STEPS).step_by(3) {
         let mut run = Run::with_proportions_of_control_hosts(members, at);
+        run.mix(versions);
         let result = run.lose_leader_between_outages(outage, at);
         result.unwrap_or_else(|violation| panic!("step {at}: {violation}"));
     }
 }
 
+/// During an upgrade the successor may get its place later, as before the upgrade, but it gets one, and the number of
+/// voters is even for no longer.
+#[rstest]
+fn a_leader_lost_during_an_upgrade_delays_a_successor_at_most(
+    #[values(3, 5)] members: u64,
+    #[values(false, true)] leader_leaves: bool,
+) {
+    for at in (1..CATCH_UP_STEPS).step_by(4) {
+        let mut run = Run::with_proportions_of_control_hosts(members, at);
+        run.mix(Versions::Mixed);
+        let replaced = run.replace_as_planned(leader_leaves, false);
+        let lost = replaced.and_then(|()| run.steps(at));
+        lost.and_then(|()| {
+            run.lose_leader(LeaderLoses::Power);
+            run.steps(CATCH_UP_STEPS)?;
+            run.check_within(RECOVERY_STEPS)
+        })
+        .unwrap_or_else(|violation| panic!("step {at}: {violation}"));
+        assert!(run.even_steps.1 <= MAX_EVEN_STEPS, "step {at}");
+    }
+}
+
 /// Hosts are replaced together several times, each time with several faults at random steps.
 #[rstest]
 fn hosts_that_are_replaced_again_and_again_become_voters(
--- a/crates/consensus/tests/testsuite/simulation.rs
+++ b/crates/consensus/tests/testsuite/simulation.rs
@@ -116,6 +116,8 @@
     pub checker: Checker,
     /// Links on which no message is delivered, as sender and receiver.
     pub cut_links: BTreeSet<(MemberId, MemberId)>,
+    /// Hosts of the version that neither sends nor reads which members are silent.
+    pub without_silence: BTreeSet<MemberId>,
     /// Target number of voters.
     pub target_voters: usize,
     options: Options,
@@ -157,6 +159,7 @@
             network: UNRELIABLE,
             checker: Checker::default(),
             cut_links: BTreeSet::new(),
+            without_silence: BTreeSet::new(),
             target_voters: voters.voters().count(),
             options,
             sabotage,
@@ -624,8 +627,12 @@
     }
 
     fn send(&mut self, envelopes: Vec<Envelope>) {
-        for envelope in envelopes {
+        for mut envelope in envelopes {
             self.sabotage(&envelope);
+            let ends = [envelope.from, envelope.to];
+            if ends.iter().any(|id| self.without_silence.contains(id)) {
+                remove_silence(&mut envelope.message);
+            }
             let network = self.network;
             let copies = 1 + u32::from(self.percent(network.duplicated));
             for _ in 0..copies {
@@ -698,6 +705,12 @@
         }
     }
 
+    /// Delivers a message to a running host at once.
+    pub fn deliver_now(&mut self, envelope: Envelope) {
+        let host = self.hosts.get_mut(&envelope.to).unwrap();
+        host.node.as_mut().unwrap().on_message(self.now, envelope);
+    }
+
     /// Returns the status that a running host reports.
     pub fn status(&self, id: MemberId) -> MemberStatus {
         self.hosts[&id].node.as_ref().unwrap().status(self.now)
@@ -725,6 +738,14 @@
     disk.apply(batch);
 }
 
+fn remove_silence(message: &mut Message) {
+    match message {
+        Message::AppendRequest { silent, .. } => silent.clear(),
+        Message::AppendResponse { silent, .. } => silent.clear(),
+        _ => {}
+    }
+}
+
 fn encode(state: State) -> Bytes {
     let mut bytes = state.index.get().to_be_bytes().to_vec();
     bytes.extend(state.digest.to_be_bytes());
--- a/crates/wire/tests/testsuite/control.rs
+++ b/crates/wire/tests/testsuite/control.rs
@@ -12,6 +12,7 @@
 use dogwoodrill_core::control_state::ControlState;
 use dogwoodrill_core::control_status::{ControlHost, HostRefusal};
 use dogwoodrill_core::time::UnixMillis;
+use dogwoodrill_wire::proto::consensus::envelope::Body;
 use dogwoodrill_wire::proto::{consensus, operator};
 use prost::Message as _;
 use rstest::rstest;
@@ -144,6 +145,27 @@
     survives_damage::<consensus::Envelope, Envelope>(&wire);
 }
 
+/// Messages of the version before have no list of silent members, and are read as if there were none.
+#[rstest]
+#[case(append(vec![entry(5, Payload::Noop)]))]
+#[case(append_response(AppendOutcome::Synced(4.into())))]
+fn messages_without_silent_members_are_read(#[case] message: Message) {
+    let mut wire = consensus::Envelope::from(envelope(message));
+    match wire.body.as_mut().unwrap() {
+        Body::AppendRequest(r) => r.silent.clear(),
+        Body::AppendResponse(r) => r.silent.clear(),
+        other => panic!("{other:?}"),
+    }
+    let bytes = wire.encode_to_vec();
+    let read = Envelope::try_from(consensus::Envelope::decode(&*bytes).unwrap()).unwrap();
+    let is_empty = match read.message {
+        Message::AppendRequest { silent, .. } => silent.is_empty(),
+        Message::AppendResponse { silent, .. } => silent.is_empty(),
+        other => panic!("{other:?}"),
+    };
+    assert!(is_empty);
+}
+
 #[test]
 fn refuses_entries_with_a_gap() {
     let gap = append(vec![entry(5, Payload::Noop), entry(7, Payload::Noop)]);
