Bound what a member keeps of the reports about silent members

Reports about hosts that are no members are dropped, and hosts that wait are forgotten at the next request of another one, also by members that do not lead.

--- a/crates/consensus/src/node/leader.rs
+++ b/crates/consensus/src/node/leader.rs
@@ -257,13 +257,15 @@
         round: Round,
         silent: &[Silence],
     ) {
+        let membership = self.log.membership();
         if let Role::Leader(leader) = &mut self.role
             && let Some(peer) = leader.peers.get_mut(&from)
             && round >= peer.round
         {
-            let reported = silent.iter().filter(|s| s.member != from);
-            let reported = reported.map(|s| (s.member, now.checked_sub(s.duration).unwrap_or(now)));
-            peer.reported = reported.collect();
+            let of_members = silent.iter().filter(|s| membership.get(s.member).is_some());
+            let reported =
+                of_members.map(|s| (s.member, now.checked_sub(s.duration).unwrap_or(now)));
+            peer.reported = reported.take(membership.members().len()).collect();
         }
     }
 
--- a/crates/consensus/src/node/silence.rs
+++ b/crates/consensus/src/node/silence.rs
@@ -80,11 +80,18 @@
     pub(super) fn observe_reported(&mut self, now: Instant, reported: &[MemberId]) {
         self.silent.since.retain(|id, _| reported.contains(id));
         let probe_at = now + self.options.heartbeat_interval;
-        for id in reported.iter().filter(|id| **id != self.id) {
-            self.silent.add(*id, now, probe_at);
+        for id in self.other_members() {
+            if reported.contains(&id) {
+                self.silent.add(id, now, probe_at);
+            }
         }
     }
 
+    fn other_members(&self) -> Vec<MemberId> {
+        let members = self.membership().members().iter().map(|m| m.id);
+        members.filter(|id| *id != self.id).collect()
+    }
+
     /// Observes the voters that this member asks for their votes, from the campaign on. While hosts start together, none
     /// of them is missed yet.
     pub(super) fn observe_voters(&mut self, now: Instant, voters: &[MemberId]) {
--- a/crates/consensus/src/vacancies.rs
+++ b/crates/consensus/src/vacancies.rs
@@ -57,6 +57,7 @@
         if joined.is_ok() {
             self.waiting.remove(&joining.id);
         } else if self.target_voters > 0 {
+            self.waiting.retain(|_, w| now < w.until);
             let host = joining.clone();
             let until = now + node.options().election_timeout;
             self.waiting.insert(host.id, WaitingHost { host, until });
