Remove a host at once that a new leader knows to be lost

A leader now removes such a host first, without that wait, if it counts as lost. A member that merely has not responded to a new leader yet is still waited for.

--- a/crates/consensus/src/node/membership.rs
+++ b/crates/consensus/src/node/membership.rs
@@ -202,8 +202,8 @@
         if self.is_reachable(now, replaced.id) {
             return ReplacementOrder::PromoteFirst;
         }
-        // A new leader may not have heard from the member yet.
-        if self.is_down(now, replaced.id) {
+        // A new leader may not have heard from the member yet, but know from before that it is lost.
+        if self.is_down(now, replaced.id) || self.is_lost(now, replaced.id) {
             ReplacementOrder::RemoveFirst(replaced.id)
         } else {
             ReplacementOrder::Unknown
