Share the random delay of elections and correct what the join policy says

The jitter of the election timer and the early campaign after a split vote were the same computation; vote requests are built beside the other election code. The module comment of the join policy still said that a follower observes nothing.

--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -391,9 +391,13 @@
             let factor = 2_u32.saturating_pow(self.first_campaigns);
             election_timeout.min(self.options.first_election_timeout.saturating_mul(factor))
         };
-        let jitter = self.rng.random_range(0..=min_timeout.as_micros());
-        let jitter = u64::try_from(jitter).unwrap_or(u64::MAX);
-        self.election_at = now + min_timeout + Duration::from_micros(jitter);
+        self.election_at = now + min_timeout + self.random_delay(min_timeout);
+    }
+
+    /// Returns a random time up to `max`, in whole microseconds.
+    fn random_delay(&mut self, max: Duration) -> Duration {
+        let delay = self.rng.random_range(0..=max.as_micros());
+        Duration::from_micros(u64::try_from(delay).unwrap_or(u64::MAX))
     }
 
     /// Makes the member a follower. Reads that a former leader had not confirmed fail.
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -1,10 +1,9 @@
 //! Terms, votes and election campaigns.
 
 use std::collections::BTreeSet;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use dogwoodrill_core::ids::{LogIndex, Term};
-use rand::Rng;
 
 use super::{Node, Role};
 use crate::entry::HardState;
@@ -108,6 +107,15 @@
         self.count_votes(now);
     }
 
+    /// Returns the request that a campaign sends to the other voters.
+    pub(super) fn vote_request(&self, kind: VoteKind) -> Message {
+        Message::VoteRequest {
+            kind,
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+        }
+    }
+
     pub(super) fn other_voters(&self) -> Vec<MemberId> {
         let voters = self.membership().voters();
         voters.filter(|id| *id != self.id).collect()
@@ -195,9 +203,7 @@
     /// Lets this member campaign again early, because another candidate splits the votes. Both were granted pre-votes by a
     /// majority, so no leader is worth waiting for; the time is random over a whole election timeout.
     fn retry_election(&mut self, now: Instant) {
-        let timeout = self.options.election_timeout.as_micros();
-        let delay = self.rng.random_range(0..=timeout);
-        let delay = Duration::from_micros(u64::try_from(delay).unwrap_or(u64::MAX));
+        let delay = self.random_delay(self.options.election_timeout);
         self.election_at = self.election_at.min(now + delay);
     }
 
--- a/crates/consensus/src/node/silence.rs
+++ b/crates/consensus/src/node/silence.rs
@@ -12,7 +12,7 @@
 
 use super::Node;
 use crate::member::MemberId;
-use crate::message::{Message, Silence, VoteKind};
+use crate::message::{Silence, VoteKind};
 use crate::options::Options;
 
 /// The members that do not respond.
@@ -173,13 +173,4 @@
             .filter(|s| s.duration >= election_timeout)
             .collect()
     }
-
-    /// Returns the request that a campaign sends to the other voters.
-    pub(super) fn vote_request(&self, kind: VoteKind) -> Message {
-        Message::VoteRequest {
-            kind,
-            last_index: self.log.last_index(),
-            last_term: self.log.last_term(),
-        }
-    }
 }
--- a/crates/consensus/src/vacancies.rs
+++ b/crates/consensus/src/vacancies.rs
@@ -4,8 +4,8 @@
 //! member while there are fewer members than the target; or it replaces a member that has not responded
 //! for long. A member that another host is about to replace is not offered again. A host that was to replace the
 //! member that now leads replaces another one that has not responded for long. Only the leader decides,
-//! and only from the responses that it received as the leader of its current term: a follower does not
-//! observe whether the other members respond.
+//! from the silence of the members that it has observed as the leader or before, or that others report while the member
+//! does not respond to the leader either (`node/silence.rs`).
 
 use std::collections::BTreeMap;
 use std::time::Instant;
