--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Builds the stand-in that the scripts of review/11 to review/15 start. It needs the standard library only.
+# Builds the stand-in that the scripts of review/11 to review/13 start. It needs the standard library only.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
--- a/review/standin-3/client.rs
+++ b/review/standin-3/client.rs
@@ -115,13 +115,19 @@
 
     /// Number of balancers in rotation.
     pub fn in_rotation(&self) -> usize {
-        self.router.balancers.iter().filter(|b| b.2.load(SeqCst)).count()
+        self.router
+            .balancers
+            .iter()
+            .filter(|b| b.2.load(SeqCst))
+            .count()
     }
 
     fn receive(&self) {
         let mut buf = [0; 2048];
         while !self.stop.load(SeqCst) {
-            let Ok((len, _)) = self.socket.recv_from(&mut buf) else { continue };
+            let Ok((len, _)) = self.socket.recv_from(&mut buf) else {
+                continue;
+            };
             let Some((packet, is_genuine)) = Packet::decode(&buf[..len]) else {
                 self.forged.fetch_add(1, SeqCst);
                 continue;
@@ -146,7 +152,10 @@
             flags,
             data,
         };
-        drop(self.socket.send_to(&packet.encode(), self.router.choose(key)));
+        drop(
+            self.socket
+                .send_to(&packet.encode(), self.router.choose(key)),
+        );
     }
 
     /// Opens a flow to a route.
@@ -213,7 +222,9 @@
                 if wait.is_zero() {
                     break;
                 }
-                let Ok((p, is_system_reset)) = flow.rx.recv_timeout(wait) else { break };
+                let Ok((p, is_system_reset)) = flow.rx.recv_timeout(wait) else {
+                    break;
+                };
                 if p.has(RST) {
                     let off = (p.seq.wrapping_sub(flow.ack) as i32).unsigned_abs();
                     if !is_system_reset {
