--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -185,17 +185,17 @@
     let sent_at = lock(&clients.opened_at);
     for server in in_zone {
         let seen = lock(&server.seen);
-        let arrived = seen.taken.iter().filter(|t| t.opened && t.at >= cold_at);
-        let arrived: Vec<_> = arrived.filter(|t| t.at < cold_at + cold_for).collect();
-        let counts = arrived.iter().map(|first| {
-            let second = first.at..first.at + Duration::from_secs(1);
-            let inside = arrived.iter().filter(|t| second.contains(&t.at));
-            let sent_inside = |t: &&&crate::server::Taken| {
-                sent_at.get(&t.flow).is_some_and(|at| {
-                    second.contains(at) || *at >= first.at - Duration::from_millis(20)
-                })
-            };
-            inside.filter(sent_inside).count()
+        // Requests that were sent and arrived while the server was cold.
+        let cold = cold_at..cold_at + cold_for;
+        let taken = seen.taken.iter().filter(|t| t.opened);
+        let taken = taken.filter_map(|t| Some((*sent_at.get(&t.flow)?, t.at)));
+        let arrived = taken.filter(|(sent, at)| cold.contains(sent) && cold.contains(at));
+        let arrived: Vec<_> = arrived.collect();
+        let counts = arrived.iter().map(|(first, _)| {
+            let second = *first..*first + Duration::from_secs(1);
+            let inside =
+                |(sent, at): &&(Instant, Instant)| second.contains(sent) && second.contains(at);
+            arrived.iter().filter(inside).count()
         });
         let most = counts.max().unwrap_or(0);
         record.line(format!(
