Hand the place of a control host over before it ends

Callers saw: a control host is replaced as planned, its successor has run for longer than catch_up_s, and 1.5 s after the old host has ended another one loses its disk.

Cause: a host that is told to stop says nothing to the others. The leader gives its place away only after it has been silent for replace_after, half of catch_up_s; until then the host that waits holds nothing, and of three voters one is gone for good.

Change: at SIGTERM a voter asks the leader (rpc Leave) to hand its place over to a host that waits for one, and runs until its removal is committed, at most three quarters of grace_s. A leader hands its own place over and commits its removal without counting its own disk. If no host waits, the process ends at once; if it does not know of one and no leader answers, after 100 ms. A host that only restarts waits for a place like any that was replaced.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -27,4 +27,4 @@
 pub use node::{JoinError, MemberProgress, MemberStatus, Node, NotLeader, RoleName};
 pub use options::Options;
 pub use outputs::{Apply, LogPosition, Outputs, ReadId, ReadOutcome};
-pub use vacancies::JoinPolicy;
+pub use vacancies::{Handover, JoinPolicy};
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -77,6 +77,8 @@
     leader_heard_at: Instant,
     /// Members that do not respond to this member; empty at the leader, which observes them by its heartbeats.
     silent: SilentMembers,
+    /// Whether this member is about to stop. Only then may it remove itself as the leader.
+    is_leaving: bool,
     pending: Pending,
 }
 
@@ -108,6 +110,7 @@
             leader_until: None,
             leader_heard_at: now,
             silent: SilentMembers::default(),
+            is_leaving: false,
             pending: Pending::default(),
         };
         node.pending.restore = node.commit > LogIndex::default();
--- a/crates/consensus/src/node/membership.rs
+++ b/crates/consensus/src/node/membership.rs
@@ -4,6 +4,9 @@
 //! leader promotes it to voter; once the promotion is committed, the leader removes the member that it
 //! replaces. Each step waits until the previous one is committed, so that the majorities of successive
 //! memberships share a member.
+//!
+//! A member that is about to stop keeps running until it is removed in this way. If it leads, it removes itself and
+//! commits its removal without counting its own disk (Ongaro's dissertation, §4.2.2).
 
 use std::time::Instant;
 
@@ -77,7 +80,10 @@
         }
         let is_known = replaced.is_none_or(|id| membership.get(id).is_some());
         ensure!(is_known, NoReplaceableMemberSnafu);
-        ensure!(replaced != Some(self.id), ReplacesLeaderSnafu);
+        ensure!(
+            replaced.is_none_or(|id| self.can_remove(id)),
+            ReplacesLeaderSnafu
+        );
         let is_replaceable = replaced.is_none_or(|id| self.is_replaceable(now, id, joining));
         ensure!(is_replaceable, AlreadyReplacedSnafu);
         ensure!(self.can_change_membership(), BusySnafu);
@@ -91,6 +97,21 @@
         Ok(())
     }
 
+    /// Records that this member is about to stop, so that it may remove itself as the leader.
+    pub(crate) const fn set_leaving(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// Returns whether this member is about to stop.
+    pub(crate) const fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
+    /// Returns whether this leader may remove the member `id`: itself only if it is about to stop.
+    fn can_remove(&self, id: MemberId) -> bool {
+        id != self.id || self.is_leaving
+    }
+
     /// Makes `member` replace `replaced` instead of the member that it replaces now.
     pub(crate) fn reassign(
         &mut self,
@@ -130,6 +151,19 @@
         })
     }
 
+    /// Returns whether a committed membership has no place for the member `id`, as known to this leader.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NotLeader`] if this member does not lead.
+    pub(crate) fn has_left(&mut self, now: Instant, id: MemberId) -> Result<bool, NotLeader> {
+        self.check_lease(now);
+        if !matches!(self.role, Role::Leader(_)) {
+            return Err(self.not_leader());
+        }
+        Ok(self.can_change_membership() && self.membership().get(id).is_none())
+    }
+
     /// Returns whether a new change may start. The previous change must be committed, and so must an entry of
     /// this term: otherwise two leaders could change the same membership in different ways (Ongaro, raft-dev,
     /// July 2015).
@@ -210,14 +244,13 @@
         }
     }
 
-    /// Returns the membership without the member that a promoted voter replaces. A leader does not remove
-    /// itself.
+    /// Returns the membership without the member that a promoted voter replaces.
     fn removal(&self) -> Option<Membership> {
         let membership = self.membership();
         let members = membership.members().iter();
         let voters = members.filter(|m| m.role == MemberRole::Voter);
         let mut promoted = voters.filter_map(|m| Some((m.clone(), m.replaces?)));
-        let (member, replaced) = promoted.find(|(_, replaced)| *replaced != self.id)?;
+        let (member, replaced) = promoted.find(|(_, replaced)| self.can_remove(*replaced))?;
         let settled = Member {
             replaces: None,
             ..member
--- a/crates/consensus/src/vacancies.rs
+++ b/crates/consensus/src/vacancies.rs
@@ -1,4 +1,4 @@
-//! Policy for a host that requests to join without naming a member to replace.
+//! Policy for a host that requests to join without naming a member to replace, and for a member that is about to stop.
 //!
 //! The host replaces the member with the same node id, whose disk was lost; or it becomes an additional
 //! member while there are fewer members than the target; or it replaces a member that has not responded
@@ -6,12 +6,31 @@
 //! member that now leads replaces another one that has not responded for long. Only the leader decides,
 //! from the silence of the members that it has observed as the leader or before, or that others report while the member
 //! does not respond to the leader either (`node/silence.rs`).
+//!
+//! A member that is about to stop hands its place over to a host that waits for one, and stops once its removal is
+//! committed. If it only restarts, it requests to join again like any host that was replaced.
 
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use crate::member::{Member, MemberId};
-use crate::node::{JoinError, Node};
+use derive_more::Display;
+
+use crate::member::{Member, MemberId, MemberRole};
+use crate::node::{JoinError, Node, NotLeader};
+
+/// Progress of a member that hands its place over before it stops.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Handover {
+    /// The member has no place in the committed membership any more and may stop.
+    #[display("complete")]
+    Complete,
+    /// A host is taking the place. The member counts until its removal is committed and must not stop before.
+    #[display("in progress")]
+    InProgress,
+    /// No host can take the place.
+    #[display("no successor")]
+    NoSuccessor,
+}
 
 /// Decides which member, if any, a joining host replaces.
 ///
@@ -27,6 +46,8 @@
 #[derive(Clone, Debug)]
 struct WaitingHost {
     host: Member,
+    /// Time of its first request.
+    since: Instant,
     /// Time after which the host counts as gone unless it asks again.
     until: Instant,
 }
@@ -58,9 +79,13 @@
             self.waiting.remove(&joining.id);
         } else if self.target_voters > 0 {
             self.waiting.retain(|_, w| now < w.until);
-            let host = joining.clone();
-            let until = now + node.options().election_timeout;
-            self.waiting.insert(host.id, WaitingHost { host, until });
+            let earlier = self.waiting.get(&joining.id);
+            let waiting = WaitingHost {
+                host: joining.clone(),
+                since: earlier.map_or(now, |w| w.since),
+                until: now + node.options().election_timeout,
+            };
+            self.waiting.insert(joining.id, waiting);
         }
         joined
     }
@@ -84,17 +109,81 @@
         self.reassign(now, node)
     }
 
+    /// Hands the place of the member `leaving`, which is about to stop, over to the host that has waited for one for
+    /// longest. Only a leader can do so, which may be `leaving` itself. The call is repeated until the handover is
+    /// complete.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NotLeader`] if this member does not lead.
+    pub fn leave(
+        &mut self,
+        now: Instant,
+        node: &mut Node,
+        leaving: MemberId,
+    ) -> Result<Handover, NotLeader> {
+        if leaving == node.id() {
+            node.set_leaving();
+        }
+        if node.has_left(now, leaving)? {
+            return Ok(Handover::Complete);
+        }
+        match node.membership().get(leaving).map(|m| m.role) {
+            Some(MemberRole::Voter) => {}
+            Some(MemberRole::Learner) => return Ok(Handover::NoSuccessor),
+            None => return Ok(Handover::InProgress),
+        }
+        if let Some(successor) = self.successor(now, node).cloned() {
+            let joined = node.join(now, &successor, Some(leaving));
+            if joined.is_ok() {
+                self.waiting.remove(&successor.id);
+            }
+            // An error means that another change is not committed yet or that another host takes the place already.
+            return Ok(Handover::InProgress);
+        }
+        let replacement = node.membership().replacement_of(leaving);
+        let is_in_progress = replacement.is_some_and(|m| !node.is_lost(now, m.id));
+        Ok(if is_in_progress {
+            Handover::InProgress
+        } else {
+            Handover::NoSuccessor
+        })
+    }
+
+    /// Returns whether this member, which is about to stop, may end after the last answer of a leader to its request;
+    /// `None` if no leader has answered. It keeps running while it knows of a host that may take its place.
+    pub fn may_stop(&self, now: Instant, node: &Node, answer: Option<Handover>) -> bool {
+        let has_successor = || self.successor(now, node).is_some();
+        let is_replaced = || node.membership().replacement_of(node.id()).is_some();
+        match answer {
+            Some(Handover::Complete) => true,
+            Some(Handover::InProgress) => false,
+            Some(Handover::NoSuccessor) => !has_successor(),
+            None => !has_successor() && !is_replaced(),
+        }
+    }
+
+    /// Returns the host that has waited for longest among those that may take the place of any member.
+    fn successor(&self, now: Instant, node: &Node) -> Option<&Member> {
+        if self.target_voters == 0 || settled(node).count() < self.target_voters {
+            return None;
+        }
+        let waiting = self.waiting.values().filter(|w| now < w.until);
+        let free = waiting.filter(|w| {
+            let is_member = node.membership().get(w.host.id).is_some();
+            !is_member && lost_disk_of(node, &w.host).is_none()
+        });
+        free.min_by_key(|w| w.since).map(|w| &w.host)
+    }
+
     fn try_join(&self, now: Instant, node: &mut Node, joining: &Member) -> Result<(), JoinError> {
-        let members = node.membership().members();
-        if members.iter().any(|m| m.id == joining.id) {
+        if node.membership().get(joining.id).is_some() {
             return Ok(());
         }
-        let settled = members.iter().filter(|m| m.replaces.is_none());
-        let on_same_node = settled.clone().find(|m| m.node == joining.node);
-        if let Some(replaced) = on_same_node.map(|m| m.id) {
+        if let Some(replaced) = lost_disk_of(node, joining) {
             return node.join(now, joining, Some(replaced));
         }
-        if settled.count() < self.target_voters {
+        if settled(node).count() < self.target_voters {
             return node.join(now, joining, None);
         }
         let lost = lost_member(now, node, joining).ok_or(JoinError::NoReplaceableMember)?;
@@ -107,8 +196,9 @@
     /// The leader was silent when the host joined, but is alive, and it does not remove itself: the host replaced nobody,
     /// and the lost member remained a voter.
     fn reassign(&self, now: Instant, node: &mut Node) -> Option<MemberId> {
-        // Without a target, only operators decide which member is replaced.
-        if self.target_voters == 0 {
+        // Without a target, only operators decide which member is replaced. A leader that is about to stop hands its
+        // place over and needs no other host to take that of a lost member.
+        if self.target_voters == 0 || node.is_leaving() {
             return None;
         }
         let joining = node.membership().replacement_of(node.id())?.clone();
@@ -118,11 +208,21 @@
     }
 }
 
+/// Returns the members that replace no other one.
+fn settled(node: &Node) -> impl Iterator<Item = &Member> {
+    let members = node.membership().members().iter();
+    members.filter(|m| m.replaces.is_none())
+}
+
+/// Returns the settled member on the node of `joining`, whose disk was lost.
+fn lost_disk_of(node: &Node, joining: &Member) -> Option<MemberId> {
+    let on_same_node = settled(node).find(|m| m.node == joining.node);
+    on_same_node.map(|m| m.id)
+}
+
 /// Returns the lost member that `joining` may replace.
 fn lost_member(now: Instant, node: &Node, joining: &Member) -> Option<MemberId> {
-    let members = node.membership().members().iter();
-    let settled = members.filter(|m| m.replaces.is_none());
-    let lost = settled.filter(|m| node.is_lost(now, m.id));
+    let lost = settled(node).filter(|m| node.is_lost(now, m.id));
     let lost = lost.filter(|m| node.is_replaceable(now, m.id, joining));
     // The member that has been silent for longest is the least likely to return.
     let longest = lost.min_by_key(|m| node.silent_since(now, m.id));
--- a/crates/wire/src/convert/consensus.rs
+++ b/crates/wire/src/convert/consensus.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use dogwoodrill_consensus::{
-    AppendOutcome, Entry, Envelope, Member, MemberId, MemberRole, Membership, Message, Payload,
-    Round, Silence, Snapshot, VoteKind,
+    AppendOutcome, Entry, Envelope, Handover, Member, MemberId, MemberRole, Membership, Message,
+    Payload, Round, Silence, Snapshot, VoteKind,
 };
 
 use super::{ConvertError, address};
@@ -259,6 +259,29 @@
     }
 }
 
+impl From<Handover> for wire::Handover {
+    fn from(h: Handover) -> Self {
+        match h {
+            Handover::Complete => Self::Complete,
+            Handover::InProgress => Self::InProgress,
+            Handover::NoSuccessor => Self::NoSuccessor,
+        }
+    }
+}
+
+impl TryFrom<wire::Handover> for Handover {
+    type Error = ConvertError;
+
+    fn try_from(h: wire::Handover) -> Result<Self, Self::Error> {
+        match h {
+            wire::Handover::Complete => Ok(Self::Complete),
+            wire::Handover::InProgress => Ok(Self::InProgress),
+            wire::Handover::NoSuccessor => Ok(Self::NoSuccessor),
+            wire::Handover::Unspecified => Err(ConvertError::Missing { field: "handover" }),
+        }
+    }
+}
+
 impl From<Snapshot> for wire::Snapshot {
     fn from(s: Snapshot) -> Self {
         Self {
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -12,7 +12,7 @@
 use dogwoodrill_consensus::store::Store;
 use dogwoodrill_consensus::store::file::{ClusterId, FileError, FileStore, FolderLock, Identity};
 use dogwoodrill_consensus::{
-    self as consensus, Batch, Envelope, HardState, Member, MemberId, Membership, Options,
+    self as consensus, Batch, Envelope, Handover, HardState, Member, MemberId, Membership, Options,
     PersistedState, RoleName, Snapshot,
 };
 use dogwoodrill_core::config::CommittedConfig;
@@ -22,7 +22,7 @@
 use dogwoodrill_core::ids::{LogIndex, NodeId, Term};
 use dogwoodrill_spread::beacon::CommitPosition;
 use snafu::Snafu;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinError;
 use tokio::time::{sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
@@ -102,6 +102,8 @@
     changes: BTreeMap<RequestId, ReplySender<dogwoodrill_core::changes::Accepted>>,
     reads: BTreeMap<RequestId, ReplySender<Arc<CommittedConfig>>>,
     last_role: RoleName,
+    /// Whether another host waits for a place or is taking the one of this host.
+    successor_waits: watch::Sender<bool>,
     /// The committed members when they were last logged.
     last_members: Membership,
     _lock: FolderLock,
@@ -139,11 +141,18 @@
             changes: BTreeMap::new(),
             reads: BTreeMap::new(),
             last_role: RoleName::Follower,
+            successor_waits: watch::Sender::new(false),
             last_members: Membership::default(),
             _lock: storage.lock,
         }
     }
 
+    /// Watches whether another host waits for a place or is taking the one of this host. The value is as of the last
+    /// write if the disk does not respond.
+    pub fn successor_waits(&self) -> watch::Receiver<bool> {
+        self.successor_waits.subscribe()
+    }
+
     /// Runs until `token` is cancelled or the disk fails.
     pub async fn run(mut self, token: CancellationToken) -> Result<(), DriverError> {
         let ended = self.drive(&token).await;
@@ -229,6 +238,14 @@
                 replaces,
                 reply,
             } => drop(reply.send(self.join(now, &member, cluster, replaces))),
+            Input::Leave {
+                member,
+                cluster,
+                reply,
+            } => drop(reply.send(self.leave(now, member, cluster))),
+            Input::MayStop { answer, reply } => {
+                let _sent = reply.send(self.replica.may_stop(now, answer));
+            }
         }
         Ok(())
     }
@@ -254,6 +271,26 @@
         Ok(())
     }
 
+    fn leave(
+        &mut self,
+        now: Instant,
+        leaving: MemberId,
+        cluster: Option<ClusterId>,
+    ) -> Result<Handover, consensus::JoinError> {
+        if cluster != self.identity.cluster {
+            return Err(consensus::JoinError::OtherCluster);
+        }
+        let successor = |r: &Replica| Some(r.membership().replacement_of(leaving)?.id);
+        let before = successor(&self.replica);
+        let handover = self.replica.leave(now, leaving)?;
+        let after = successor(&self.replica);
+        if let Some(id) = after.filter(|_| after != before) {
+            log::info!("member {leaving} is about to stop and hands its place over");
+            self.log_place(now, id);
+        }
+        Ok(handover)
+    }
+
     fn log_place(&self, now: Instant, id: MemberId) {
         let members = self.replica.membership();
         let Some(joining) = members.get(id) else {
@@ -483,11 +520,15 @@
         }
     }
 
-    /// Updates the beacon source and the metrics. The beacon carries the index of the last
+    /// Updates the beacon source, the metrics and what others watch. The beacon carries the index of the last
     /// configuration change and not of the last log entry, because nodes compare it with the index of
     /// their configuration.
     fn report(&mut self) {
-        let standing = self.replica.standing(Instant::now());
+        let now = Instant::now();
+        let successor_waits = !self.replica.may_stop(now, None);
+        self.successor_waits
+            .send_if_modified(|waits| std::mem::replace(waits, successor_waits) != successor_waits);
+        let standing = self.replica.standing(now);
         let index = self.replica.state().config.index;
         self.cluster.set_beacon_source(match standing.role {
             RoleName::Leader => BeaconSource::Quorum(CommitPosition {
--- a/src/control/handle.rs
+++ b/src/control/handle.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dogwoodrill_consensus::store::file::{ClusterId, Identity};
-use dogwoodrill_consensus::{Envelope, JoinError, Member, MemberId, Membership};
+use dogwoodrill_consensus::{Envelope, Handover, JoinError, Member, MemberId, Membership};
 use dogwoodrill_core::changes::{Accepted, Change, CommandId};
 use dogwoodrill_core::config::CommittedConfig;
 use dogwoodrill_core::control_status::{ControlStatus, HostRefusal};
@@ -83,6 +83,22 @@
         /// Receives the result.
         reply: oneshot::Sender<Result<(), JoinError>>,
     },
+    /// Hand the place of a host that is about to stop over to a host that waits for one.
+    Leave {
+        /// The host.
+        member: MemberId,
+        /// The cluster that the disk of the host belongs to.
+        cluster: Option<ClusterId>,
+        /// Receives the progress.
+        reply: oneshot::Sender<Result<Handover, JoinError>>,
+    },
+    /// Decide whether this host, which is about to stop, may end.
+    MayStop {
+        /// The last answer of a leader to its request to leave; `None` without one.
+        answer: Option<Handover>,
+        /// Receives the decision.
+        reply: oneshot::Sender<bool>,
+    },
     /// Bootstrap a cluster.
     Bootstrap {
         /// Its members.
@@ -149,6 +165,25 @@
         self.request(input).await
     }
 
+    /// Hands the place of a host that is about to stop over to another one, if this host leads.
+    pub async fn leave(
+        &self,
+        member: MemberId,
+        cluster: Option<ClusterId>,
+    ) -> Result<Result<Handover, JoinError>, DriverUnavailable> {
+        let input = |reply| Input::Leave {
+            member,
+            cluster,
+            reply,
+        };
+        self.request(input).await
+    }
+
+    /// Returns whether this host, which is about to stop, may end after the last `answer` of a leader.
+    pub async fn may_stop(&self, answer: Option<Handover>) -> Result<bool, DriverUnavailable> {
+        self.request(|reply| Input::MayStop { answer, reply }).await
+    }
+
     /// Sends the driver an input that has no reply.
     pub async fn send(&self, input: Input) -> Result<(), DriverUnavailable> {
         self.inputs
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -8,6 +8,7 @@
 use dogwoodrill_wire::proto::consensus as wire;
 use dogwoodrill_wire::proto::consensus::consensus_server::{Consensus, ConsensusServer};
 use dogwoodrill_wire::proto::consensus::join_response::Answer;
+use dogwoodrill_wire::proto::consensus::leave_response::Answer as LeaveAnswer;
 use tonic::{Request, Response, Status};
 
 use super::handle::{DriverUnavailable, Handle, Input};
@@ -91,4 +92,21 @@
             answer: Some(answer),
         }))
     }
+
+    async fn leave(
+        &self,
+        request: Request<wire::LeaveRequest>,
+    ) -> Result<Response<wire::LeaveResponse>, Status> {
+        transport::require_role(&request, Role::Control)?;
+        let request = request.into_inner();
+        let cluster = (request.cluster != 0).then(|| ClusterId::new(request.cluster));
+        let left = self.handle.leave(request.member.into(), cluster).await;
+        let answer = match left.map_err(unavailable)? {
+            Ok(handover) => LeaveAnswer::Handover(wire::Handover::from(handover).into()),
+            Err(refusal) => LeaveAnswer::Refusal(refusal.to_string()),
+        };
+        Ok(Response::new(wire::LeaveResponse {
+            answer: Some(answer),
+        }))
+    }
 }
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -11,9 +11,9 @@
 use bytes::Bytes;
 use derive_more::{Display, From};
 use dogwoodrill_consensus::{
-    Apply, Batch, Entry, Envelope, JoinError, JoinPolicy, LogPosition, Member, MemberId,
-    MemberProgress, MemberStatus, Membership, Node, Options, Payload, PersistedState, ReadId,
-    ReadOutcome, RoleName, Snapshot,
+    Apply, Batch, Entry, Envelope, Handover, JoinError, JoinPolicy, LogPosition, Member, MemberId,
+    MemberProgress, MemberStatus, Membership, Node, NotLeader, Options, Payload, PersistedState,
+    ReadId, ReadOutcome, RoleName, Snapshot,
 };
 use dogwoodrill_core::changes::{Accepted, Change, Command, CommandId};
 use dogwoodrill_core::config::CommittedConfig;
@@ -259,6 +259,16 @@
         self.vacancies.advance(now, &mut self.node)
     }
 
+    /// Hands the place of the member `leaving`, which is about to stop, over to a host that waits for one.
+    pub fn leave(&mut self, now: Instant, leaving: MemberId) -> Result<Handover, NotLeader> {
+        self.vacancies.leave(now, &mut self.node, leaving)
+    }
+
+    /// Whether this host, which is about to stop, may end after the last `answer` of a leader.
+    pub fn may_stop(&self, now: Instant, answer: Option<Handover>) -> bool {
+        self.vacancies.may_stop(now, &self.node, answer)
+    }
+
     /// The time for which this leader has waited for a response of the member `id`.
     pub fn silence(&self, now: Instant, id: MemberId) -> Duration {
         let since = self.node.silent_since(now, id);
--- a/src/forwarded/control.rs
+++ b/src/forwarded/control.rs
@@ -2,10 +2,12 @@
 //!
 //! The log, its storage and its messages are those of [`crate::control`]. Only the membership is managed
 //! differently, without an operator: the initial members know each other from their settings, and a host with
-//! an empty disk requests to join until the leader has a vacancy for it (`control/joiner.rs`). Nodes are told of
+//! an empty disk requests to join until the leader has a vacancy for it (`control/joiner.rs`). A host that is told to stop
+//! hands its place over before (`control/leaver.rs`). Nodes are told of
 //! each other and of new configurations by `control/notifier.rs`, and fetch a configuration from
 //! `control/service_maps.rs`.
 
+use std::future::pending;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -38,10 +40,12 @@
 use crate::transport;
 
 mod joiner;
+mod leaver;
 mod notifier;
 mod service_maps;
 
 use joiner::{Joiner, initial_member_id, initial_members};
+use leaver::Leaver;
 use notifier::NodeNotifier;
 use service_maps::ServiceMapStore;
 
@@ -118,6 +122,7 @@
     handle: Handle,
     driver: Box<Driver>,
     joiner: Joiner,
+    leaver: Leaver,
     datagrams: Datagrams,
     maps: ServiceMapStore,
     journal: Journal,
@@ -176,6 +181,12 @@
                 initial_members,
                 members: watch::Sender::new(Arc::default()),
             },
+            leaver: Leaver {
+                cx: cx.clone(),
+                handle: handle.clone(),
+                successor_waits: driver.successor_waits(),
+                stop_grace: settings.stop_grace,
+            },
             handle,
             driver: Box::new(driver),
             datagrams,
@@ -197,7 +208,7 @@
         Arc::clone(&self.cluster)
     }
 
-    /// Runs until `token` is cancelled or the disk fails. `seeds` are the addresses of the control hosts that
+    /// Runs until `token` is cancelled and the place of the host is handed over, or the disk fails. `seeds` are the addresses of the control hosts that
     /// the host contacts first.
     pub async fn run(
         self,
@@ -208,7 +219,8 @@
         routes
             .add_service(ConsensusService::server(&self.handle))
             .add_service(ServiceMapsServer::new(self.maps.clone()));
-        let served = transport::serve(&self.cx, self.listener, routes.routes(), token.clone());
+        let end = CancellationToken::new();
+        let served = transport::serve(&self.cx, self.listener, routes.routes(), end.clone());
         let notifier = NodeNotifier {
             mesh: Mesh::new(self.datagrams.own_address()),
             datagrams: self.datagrams,
@@ -217,11 +229,20 @@
             journal: self.journal,
             members: self.joiner.members.subscribe(),
         };
+        let joined_then_left = async {
+            // A host that is about to stop requests no place.
+            token
+                .run_until_cancelled(self.joiner.run(seeds.clone()))
+                .await;
+            self.leaver.hand_over().await;
+            end.cancel();
+            pending::<()>().await;
+        };
         tokio::select! {
             ended = served => Ok(ended?),
-            ended = self.driver.run(token.clone()) => Ok(ended?),
+            ended = self.driver.run(end.clone()) => Ok(ended?),
             ended = notifier.run(seeds.clone()) => ended.context(DatagramsSnafu),
-            () = self.joiner.run(seeds) => Ok(()),
+            () = joined_then_left => Ok(()),
         }
     }
 }
--- a/tests/testsuite/forwarded.rs
+++ b/tests/testsuite/forwarded.rs
@@ -11,6 +11,7 @@
 
 use crate::support::HANG_GUARD;
 
+mod departures;
 mod disks;
 mod explain;
 mod hosts;
