--- a/crates/consensus/src/vacancies.rs
+++ b/crates/consensus/src/vacancies.rs
@@ -13,22 +13,17 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use derive_more::Display;
-
 use crate::member::{Member, MemberId, MemberRole};
 use crate::node::{JoinError, Node, NotLeader};
 
 /// Progress of a member that hands its place over before it stops.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Handover {
     /// The member has no place in the committed membership any more and may stop.
-    #[display("complete")]
     Complete,
     /// A host is taking the place. The member counts until its removal is committed and must not stop before.
-    #[display("in progress")]
     InProgress,
     /// No host can take the place.
-    #[display("no successor")]
     NoSuccessor,
 }
 
--- a/crates/consensus/tests/testsuite/replacement_orders.rs
+++ b/crates/consensus/tests/testsuite/replacement_orders.rs
@@ -375,6 +375,15 @@
         Ok(())
     }
 
+    /// Kills a host for good whose successor has waited for so long that the host counts no more.
+    fn kill(&mut self, leavers: Leavers) -> Checked {
+        self.leave(leavers)?;
+        for host in std::mem::take(&mut self.stopping) {
+            self.simulation.remove(host.id, false);
+        }
+        Ok(())
+    }
+
     /// Lets as many of the hosts that do not leave lose their power or disks as may be lost at once.
     fn lose_tolerated(&mut self, lost_first: LostFirst, loses: LeaderLoses) {
         let leader = self.simulation.leader();
@@ -403,6 +412,10 @@
     ) -> Checked {
         self.leave(leavers)?;
         self.steps(at)?;
+        self.lose_and_recover(lost_first, loses)
+    }
+
+    fn lose_and_recover(&mut self, lost_first: LostFirst, loses: LeaderLoses) -> Checked {
         self.lose_tolerated(lost_first, loses);
         self.steps(EMPTY_DISK_STEPS.max(GRACE_STEPS))?;
         self.check_within(RECOVERY_STEPS)
@@ -762,6 +775,31 @@
     assert!(!broken.is_empty());
 }
 
+/// Guards against the loss of other disks before the successor of a host that was killed has its place.
+#[test]
+fn disks_lost_right_after_a_host_was_killed_are_tolerated() {
+    let mut broken = Vec::new();
+    for members in [3, 5] {
+        for leavers in [Leavers::Follower, Leavers::Leader] {
+            for lost_first in [LostFirst::Leader, LostFirst::Followers] {
+                for at in 0..=CATCH_UP_STEPS {
+                    let mut run = Run::with_proportions_of_control_hosts(members, at);
+                    let result = run.kill(leavers).and_then(|()| {
+                        run.steps(at)?;
+                        run.lose_and_recover(lost_first, LeaderLoses::Disk)
+                    });
+                    if let Err(violation) = result {
+                        broken.push(format!(
+                            "{members} members, {leavers:?}, {lost_first:?}, step {at}: {violation}"
+                        ));
+                    }
+                }
+            }
+        }
+    }
+    assert!(broken.is_empty(), "{} broken: {broken:#?}", broken.len());
+}
+
 /// A host that hands its place over ends long before it would be killed, and its successor is a voter then. Without a
 /// successor it ends at the first request.
 #[rstest]
@@ -816,9 +854,7 @@
         let leader = run.simulation.leader().unwrap();
         run.tell_to_stop(leader, AfterStop::Gone);
         run.steps(at).unwrap();
-        run.lose_tolerated(lost_first, LeaderLoses::Disk);
-        run.steps(EMPTY_DISK_STEPS.max(GRACE_STEPS)).unwrap();
-        run.check_within(RECOVERY_STEPS)
+        run.lose_and_recover(lost_first, LeaderLoses::Disk)
             .unwrap_or_else(|violation| panic!("step {at}: {violation}"));
     }
 }
@@ -840,9 +876,7 @@
         run.steps(POWER_STEPS + CATCH_UP_STEPS).unwrap();
         run.check_within(RECOVERY_STEPS)
             .unwrap_or_else(|violation| panic!("step {at}: {violation}"));
-        run.lose_tolerated(LostFirst::Leader, LeaderLoses::Disk);
-        run.steps(EMPTY_DISK_STEPS).unwrap();
-        run.check_within(RECOVERY_STEPS)
+        run.lose_and_recover(LostFirst::Leader, LeaderLoses::Disk)
             .unwrap_or_else(|violation| panic!("step {at}, disks lost: {violation}"));
     }
 }
--- a/src/forwarded/control.rs
+++ b/src/forwarded/control.rs
@@ -2,10 +2,9 @@
 //!
 //! The log, its storage and its messages are those of [`crate::control`]. Only the membership is managed
 //! differently, without an operator: the initial members know each other from their settings, and a host with
-//! an empty disk requests to join until the leader has a vacancy for it (`control/joiner.rs`). A host that is told to stop
-//! hands its place over before (`control/leaver.rs`). Nodes are told of
-//! each other and of new configurations by `control/notifier.rs`, and fetch a configuration from
-//! `control/service_maps.rs`.
+//! an empty disk requests to join until the leader has a vacancy for it (`control/joiner.rs`). A host that is told to
+//! stop hands its place over before it ends (`control/leaver.rs`). Nodes are told of each other and of new
+//! configurations by `control/notifier.rs`, and fetch a configuration from `control/service_maps.rs`.
 
 use std::future::pending;
 use std::io;
@@ -208,8 +207,8 @@
         Arc::clone(&self.cluster)
     }
 
-    /// Runs until `token` is cancelled and the place of the host is handed over, or the disk fails. `seeds` are the addresses of the control hosts that
-    /// the host contacts first.
+    /// Runs until `token` is cancelled and the place of the host is handed over if another one waits for it, or until
+    /// the disk fails. `seeds` are the addresses of the control hosts that the host contacts first.
     pub async fn run(
         self,
         seeds: watch::Receiver<Arc<[NodeAddress]>>,
@@ -229,7 +228,7 @@
             journal: self.journal,
             members: self.joiner.members.subscribe(),
         };
-        let joined_then_left = async {
+        let membership = async {
             // A host that is about to stop requests no place.
             token
                 .run_until_cancelled(self.joiner.run(seeds.clone()))
@@ -242,7 +241,7 @@
             ended = served => Ok(ended?),
             ended = self.driver.run(end.clone()) => Ok(ended?),
             ended = notifier.run(seeds.clone()) => ended.context(DatagramsSnafu),
-            () = joined_then_left => Ok(()),
+            () = membership => Ok(()),
         }
     }
 }
