--- a/crates/consensus/tests/testsuite/membership.rs
+++ b/crates/consensus/tests/testsuite/membership.rs
@@ -423,3 +423,35 @@
         }
     }
 }
+
+/// Lets a member leave until it may stop, and removes it then.
+fn leave(simulation: &mut Simulation, id: MemberId) {
+    simulation.hosts.get_mut(&id).unwrap().leaving = true;
+    for _ in 0..100 {
+        if simulation.request_leave(id).unwrap() {
+            simulation.remove(id, true);
+            return;
+        }
+        simulation.step().unwrap();
+    }
+    panic!("the member may not stop");
+}
+
+/// Guards against a place that goes to a host that has just started, while another one has waited for long.
+#[test]
+fn the_place_of_a_member_that_leaves_goes_to_the_host_that_has_waited_longest() {
+    let mut simulation = healthy_cluster(3, 9);
+    let later = simulation.add_spare();
+    let first = simulation.add_spare();
+    simulation.crash(later, true);
+    simulation.request_joins().unwrap();
+    simulation.run(10).unwrap();
+    simulation.restart(later);
+    simulation.request_joins().unwrap();
+    let leaving = follower(&simulation);
+    leave(&mut simulation, leaving);
+    simulation.run(20).unwrap();
+    let leader = simulation.leader().unwrap();
+    let voters = simulation.reported_voters(leader);
+    assert!(voters.contains(&first) && !voters.contains(&later));
+}
--- a/crates/consensus/tests/testsuite/replacement_orders.rs
+++ b/crates/consensus/tests/testsuite/replacement_orders.rs
@@ -129,9 +129,9 @@
     Slow,
 }
 
-/// What the leader loses while a successor waits for its place.
+/// What a host loses while a successor waits for its place.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum LeaderLoses {
+enum Loses {
     Power,
     Disk,
 }
@@ -385,7 +385,7 @@
     }
 
     /// Lets as many of the hosts that do not leave lose their power or disks as may be lost at once.
-    fn lose_tolerated(&mut self, lost_first: LostFirst, loses: LeaderLoses) {
+    fn lose_tolerated(&mut self, lost_first: LostFirst, loses: Loses) {
         let leader = self.simulation.leader();
         let mut staying = self.running();
         staying.retain(|id| self.is_running(*id) && !self.simulation.hosts[id].leaving);
@@ -408,14 +408,14 @@
         &mut self,
         leavers: Leavers,
         at: u64,
-        (lost_first, loses): (LostFirst, LeaderLoses),
+        (lost_first, loses): (LostFirst, Loses),
     ) -> Checked {
         self.leave(leavers)?;
         self.steps(at)?;
         self.lose_and_recover(lost_first, loses)
     }
 
-    fn lose_and_recover(&mut self, lost_first: LostFirst, loses: LeaderLoses) -> Checked {
+    fn lose_and_recover(&mut self, lost_first: LostFirst, loses: Loses) -> Checked {
         self.lose_tolerated(lost_first, loses);
         self.steps(EMPTY_DISK_STEPS.max(GRACE_STEPS))?;
         self.check_within(RECOVERY_STEPS)
@@ -431,19 +431,19 @@
         self.simulation.leader().or_else(voter)
     }
 
-    fn lose_leader(&mut self, loses: LeaderLoses) {
+    fn lose_leader(&mut self, loses: Loses) {
         if let Some(id) = self.leader_or_voter() {
             self.lose(id, loses);
         }
     }
 
-    fn lose(&mut self, id: MemberId, loses: LeaderLoses) {
+    fn lose(&mut self, id: MemberId, loses: Loses) {
         match loses {
-            LeaderLoses::Power => {
+            Loses::Power => {
                 self.simulation.crash(id, false);
                 self.schedule_end(POWER_STEPS, FaultEnd::Restart(id));
             }
-            LeaderLoses::Disk => {
+            Loses::Disk => {
                 self.simulation.remove(id, false);
                 self.schedule_end(EMPTY_DISK_STEPS, FaultEnd::StartEmpty(id));
             }
@@ -555,7 +555,7 @@
         &mut self,
         leader_leaves: bool,
         with_notice: bool,
-        (at, loses): (u64, LeaderLoses),
+        (at, loses): (u64, Loses),
     ) -> Checked {
         self.replace_as_planned(leader_leaves, with_notice)?;
         self.steps(at)?;
@@ -568,9 +568,9 @@
             CATCH_UP_STEPS
         };
         self.steps(due + 1 - at)?;
-        let already_lost = usize::from(loses == LeaderLoses::Disk);
+        let already_lost = usize::from(loses == Loses::Disk);
         for _ in already_lost..tolerated {
-            self.lose_leader(LeaderLoses::Disk);
+            self.lose_leader(Loses::Disk);
         }
         self.steps(EMPTY_DISK_STEPS.max(POWER_STEPS))?;
         self.check_within(RECOVERY_STEPS)
@@ -702,10 +702,7 @@
 /// host that waits was lost with the leader (review/6).
 #[rstest]
 fn a_leader_lost_while_a_successor_waits_leaves_room_for_the_tolerated_loss_of_disks(
-    #[values((3, LeaderLoses::Power), (5, LeaderLoses::Power), (5, LeaderLoses::Disk))] lost: (
-        u64,
-        LeaderLoses,
-    ),
+    #[values((3, Loses::Power), (5, Loses::Power), (5, Loses::Disk))] lost: (u64, Loses),
     #[values(false, true)] leader_leaves: bool,
     #[values(false, true)] with_notice: bool,
 ) {
@@ -731,7 +728,7 @@
     members: u64,
     sabotage: Sabotage,
     leavers: Leavers,
-    lose: (LostFirst, LeaderLoses),
+    lose: (LostFirst, Loses),
 ) -> Vec<String> {
     let broken = (0..=CATCH_UP_STEPS).filter_map(|at| {
         let mut run = Run::with_sabotage(members, at, sabotage);
@@ -755,7 +752,7 @@
     )]
     leavers: Leavers,
     #[values(LostFirst::Leader, LostFirst::Followers, LostFirst::Successors)] lost_first: LostFirst,
-    #[values(LeaderLoses::Power, LeaderLoses::Disk)] loses: LeaderLoses,
+    #[values(Loses::Power, Loses::Disk)] loses: Loses,
 ) {
     let lose = (lost_first, loses);
     let broken = search_departures(members, Sabotage::Nothing, leavers, lose);
@@ -769,7 +766,7 @@
     #[values(LostFirst::Leader, LostFirst::Followers)] lost_first: LostFirst,
     #[values(Sabotage::EndsAtOnce, Sabotage::EndsTooEarly)] sabotage: Sabotage,
 ) {
-    let lose = (lost_first, LeaderLoses::Disk);
+    let lose = (lost_first, Loses::Disk);
     let broken = search_departures(members, sabotage, leavers, lose);
     println!("{} broken", broken.len());
     assert!(!broken.is_empty());
@@ -786,7 +783,7 @@
                     let mut run = Run::with_proportions_of_control_hosts(members, at);
                     let result = run.kill(leavers).and_then(|()| {
                         run.steps(at)?;
-                        run.lose_and_recover(lost_first, LeaderLoses::Disk)
+                        run.lose_and_recover(lost_first, Loses::Disk)
                     });
                     if let Err(violation) = result {
                         broken.push(format!(
@@ -854,7 +851,7 @@
         let leader = run.simulation.leader().unwrap();
         run.tell_to_stop(leader, AfterStop::Gone);
         run.steps(at).unwrap();
-        run.lose_and_recover(lost_first, LeaderLoses::Disk)
+        run.lose_and_recover(lost_first, Loses::Disk)
             .unwrap_or_else(|violation| panic!("step {at}: {violation}"));
     }
 }
@@ -876,7 +873,7 @@
         run.steps(POWER_STEPS + CATCH_UP_STEPS).unwrap();
         run.check_within(RECOVERY_STEPS)
             .unwrap_or_else(|violation| panic!("step {at}: {violation}"));
-        run.lose_and_recover(LostFirst::Leader, LeaderLoses::Disk)
+        run.lose_and_recover(LostFirst::Leader, Loses::Disk)
             .unwrap_or_else(|violation| panic!("step {at}, disks lost: {violation}"));
     }
 }
@@ -888,7 +885,7 @@
     #[values(3, 5)] members: u64,
     #[values(Leavers::Follower, Leavers::Leader)] leavers: Leavers,
     #[values(0, 1)] first: usize,
-    #[values(LeaderLoses::Power, LeaderLoses::Disk)] loses: LeaderLoses,
+    #[values(Loses::Power, Loses::Disk)] loses: Loses,
 ) {
     for at in (0..=CATCH_UP_STEPS).step_by(2) {
         let mut run = Run::with_proportions_of_control_hosts(members, at);
@@ -896,8 +893,8 @@
         run.simulation.without_handover = ids.into_iter().skip(first).step_by(2).collect();
         run.leave(leavers).unwrap();
         let lost_at = match loses {
-            LeaderLoses::Power => at,
-            LeaderLoses::Disk => at + CATCH_UP_STEPS,
+            Loses::Power => at,
+            Loses::Disk => at + CATCH_UP_STEPS,
         };
         run.steps(lost_at).unwrap();
         run.lose_tolerated(LostFirst::Leader, loses);
@@ -936,7 +933,7 @@
         let replaced = run.replace_as_planned(leader_leaves, false);
         let lost = replaced.and_then(|()| run.steps(at));
         lost.and_then(|()| {
-            run.lose_leader(LeaderLoses::Power);
+            run.lose_leader(Loses::Power);
             run.steps(CATCH_UP_STEPS)?;
             run.check_within(RECOVERY_STEPS)
         })
