--- a/crates/consensus/tests/testsuite/simulation.rs
+++ b/crates/consensus/tests/testsuite/simulation.rs
@@ -346,17 +346,17 @@
         if self.sabotage == Sabotage::EndsAtOnce || self.without_handover.contains(&id) {
             return Ok(true);
         }
-        let leader = self.hosts[&id].node.as_ref().unwrap();
-        let leader = leader.status(self.now).leader;
+        let leader = self.status(id).leader;
         let mut answer = None;
         for to in self.ids() {
             let link = [(id, to), (to, id)];
-            if Some(to) == leader && self.without_handover.contains(&to) {
-                return Ok(true);
+            if link.iter().any(|link| self.cut_links.contains(link)) {
+                continue;
             }
-            let is_open = !link.iter().any(|link| self.cut_links.contains(link));
-            if is_open && !self.without_handover.contains(&to) {
+            if !self.without_handover.contains(&to) {
                 answer = answer.or(self.request_leave_at(to, id)?);
+            } else if Some(to) == leader {
+                return Ok(true);
             }
         }
         if self.sabotage == Sabotage::EndsTooEarly && answer == Some(Handover::InProgress) {
