Let openings wait by their callers' time, refuse them when their response cannot come any more

A caller that could be answered was refused there, and one that could not waited. An opening that was late on arrival was not refused at all though it could not start. Openings past their target latency got a slot only if the server would be idle otherwise, the newest first, so that under sustained overload they starved. A repeat counted from the first attempt of its host, so that users of a shared host took on each other's age.

Change: - An opening waits as long as its response can come within the time that its caller has: the route's timeout less its age, and the end of an opening after 1.4 s; by the requests before it, the capacity that more urgent ones take, its own service time with the measured deviation, and the measured path. Otherwise it goes once to a peer that is expected to answer in time, or is refused, with the event that shows it. Without a measured service time nothing is refused for it, and an idle server always gets the next request, since only that shows whether it is fast again. - The more urgent go first. Within a priority, those that meet the target go before those that will be late, as long as these are still answered with the requests before them counted twice; otherwise all go by arrival. - Callers' repeats are treated like first attempts; `returning.rs` and the heartbeat's field are gone (number 13 reserved). - A place at the server is kept for a request that does not come only for twice the measured round trip. Callers that had given up held it for up to a second: deadlines of 2 s stood before those of 500 ms in a queue that was read from its front. - An opening that is redirected from the queue, because its agent stops or its zone is disabled, keeps its age. - Assumed values go: 40 ms and 20 ms of overhead, the factor of 1.6 for cold servers; the service time of 15 ms is a mere unit.

--- a/crates/core/src/forwarded/agent.rs
+++ b/crates/core/src/forwarded/agent.rs
@@ -16,7 +16,8 @@
 //! `agent/search.rs` searches for a flow that no keeper knows. `agent/life.rs` handles starts and ends of the server,
 //! and `agent/explain.rs` explains decisions without making them.
 
-use std::collections::{HashMap, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -34,7 +35,6 @@
 use super::outlier::{OutlierDetector, ServiceBaseline};
 use super::packet::{FlowKey, Header};
 use super::report::ServerReport;
-use super::returning::{RefusedAttempt, RefusedAttempts};
 use super::server::Server;
 use super::service_map::ServiceMap;
 use super::slot_offers::{SlotOfferStats, SlotOffers};
@@ -102,7 +102,6 @@
     outlier: OutlierDetector,
     queue: AdmissionQueue,
     offers: SlotOffers,
-    refused: RefusedAttempts,
     /// Redirections of recent opening packets.
     redirects: HashMap<FlowKey, Redirect>,
     directory: FlowDirectory,
@@ -118,7 +117,7 @@
     /// Times by which the server should have answered opening packets.
     answer_deadlines: VecDeque<(Instant, FlowKey)>,
     /// Times by which the requests of flows should have arrived.
-    request_deadlines: VecDeque<(Instant, FlowKey)>,
+    request_deadlines: BinaryHeap<Reverse<(Instant, FlowKey)>>,
     /// Ring version at which the locations of flows were last announced to keepers.
     announced_ring_version: u64,
     flows_to_announce: Vec<FlowKey>,
@@ -161,7 +160,6 @@
             outlier: OutlierDetector::default(),
             queue: AdmissionQueue::default(),
             offers: SlotOffers::default(),
-            refused: RefusedAttempts::default(),
             redirects: HashMap::new(),
             directory: FlowDirectory::default(),
             searches: FlowSearches::default(),
@@ -170,7 +168,7 @@
             provisional_denials: Vec::new(),
             has_common_start: false,
             answer_deadlines: VecDeque::new(),
-            request_deadlines: VecDeque::new(),
+            request_deadlines: BinaryHeap::new(),
             announced_ring_version: 0,
             flows_to_announce: Vec::new(),
             queries_left: MAX_QUERIES_PER_TICK,
@@ -252,20 +250,6 @@
         std::mem::take(&mut self.decisions)
     }
 
-    /// Returns the refused attempts that heartbeats to other agents contain.
-    pub fn refused_attempts(&self, now: Instant) -> Vec<RefusedAttempt> {
-        self.refused.announced(now)
-    }
-
-    /// Applies the refused attempts in a message of another agent.
-    pub fn on_refused_attempts(&mut self, attempts: impl IntoIterator<Item = RefusedAttempt>) {
-        for attempt in attempts {
-            if self.refused.on_announced(attempt) && self.queue.on_refused_attempt(&attempt) {
-                self.refused.on_returned(attempt.flow);
-            }
-        }
-    }
-
     /// Stops accepting new flows, because the agent is about to stop.
     pub const fn stop(&mut self) {
         self.is_stopping = true;
@@ -385,7 +369,6 @@
         self.compare_with_peers(now);
         self.directory.expire(now);
         self.searches.expire(now);
-        self.refused.expire(now);
         self.bounced.retain(|_, h| now < h.until);
         self.redirects.retain(|_, r| now < r.until);
         let expired = self.flows.iter().filter(|(_, f)| f.forget_at <= now);
--- a/crates/core/src/forwarded/agent/explain.rs
+++ b/crates/core/src/forwarded/agent/explain.rs
@@ -3,7 +3,7 @@
 //! The decision depends on the order of many checks, some of which have effects. So it is made by the functions that
 //! make it for a packet, in a copy of the agent that holds what they read.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Instant;
@@ -172,7 +172,6 @@
             outlier: self.outlier.clone(),
             queue: self.queue.clone(),
             offers: self.offers.clone(),
-            refused: self.refused.clone(),
             redirects: redirect.into_iter().collect(),
             directory: FlowDirectory::default(),
             searches: FlowSearches::default(),
@@ -181,7 +180,7 @@
             provisional_denials: Vec::new(),
             has_common_start: self.has_common_start,
             answer_deadlines: VecDeque::new(),
-            request_deadlines: VecDeque::new(),
+            request_deadlines: BinaryHeap::new(),
             announced_ring_version: self.announced_ring_version,
             flows_to_announce: Vec::new(),
             queries_left: self.queries_left,
--- a/crates/core/src/forwarded/agent/life.rs
+++ b/crates/core/src/forwarded/agent/life.rs
@@ -28,6 +28,9 @@
             self.compare_with_peers(now);
             self.end_flows_of_earlier_incarnations(now);
         }
+        if outcome != StatementOutcome::Unchanged {
+            self.admit(now);
+        }
         outcome
     }
 
@@ -36,6 +39,7 @@
         let left = self.server.on_leave(id);
         if left {
             self.leave_deadline = Some(now + LEAVE_GRACE);
+            self.admit(now);
         }
         left
     }
@@ -46,6 +50,7 @@
         let ended = self.server.on_port_closed();
         if ended {
             self.end_flows(now, |f| f.answered_at.is_none_or(|at| at < looked_at));
+            self.admit(now);
         }
         ended
     }
--- a/crates/core/src/forwarded/agent/openings.rs
+++ b/crates/core/src/forwarded/agent/openings.rs
@@ -1,5 +1,6 @@
 //! Opening packets: admission, redirection to other agents, queueing and refusal.
 
+use std::cmp::Reverse;
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
@@ -12,9 +13,8 @@
 use crate::forwarded::packet::{FlowKey, Header, Purpose, Trail};
 use crate::forwarded::placement::{self, Candidate, LoadEstimator, ProbePolicy};
 use crate::forwarded::report::ReceivedReport;
-use crate::forwarded::returning::RefusedAttempt;
 use crate::forwarded::service_map::{ServiceLabel, ServiceMap};
-use crate::forwarded::waiting::{QueuedOpening, ServerLoad, max_queue_time};
+use crate::forwarded::waiting::{QueuedOpening, ServerLoad};
 
 /// Most redirections of an opening packet between agents.
 pub(super) const MAX_HOPS: u8 = 3;
@@ -23,9 +23,9 @@
 /// Time for which the redirection of a flow is remembered: as long as callers send copies of an opening
 /// packet.
 const REDIRECT_TTL: Duration = Duration::from_secs(3);
-/// Most redirections of an opening packet that cannot be on time at an agent. A second agent that cannot serve it in
-/// time either shows that the service has no capacity left.
-const MAX_OVERDUE_HOPS: u8 = 1;
+/// Most redirections of an opening packet that an agent cannot serve in time. A second agent that cannot either shows
+/// that the service has no capacity left, and each redirection takes some of the time that the caller has.
+const MAX_LATE_HOPS: u8 = 1;
 
 /// Factor by which a peer must be faster, its load included, to receive an opening packet that this server can take.
 const MIN_SPEEDUP: u32 = 2;
@@ -100,36 +100,37 @@
         {
             return self.redirect_to(now, to, header, Reason::Suspended);
         }
-        let since = self.first_seen(now, header);
-        let header = &header.with_age(now.saturating_duration_since(since));
-        if self.queue.is_empty() && self.busy < self.slots() {
-            if self.is_in_time(now, since, key, Duration::ZERO) {
-                self.record_share(now, key);
-            }
+        let Some(policy) = self.map.route(key.service).map(|r| r.policy) else {
+            return self.refuse(now, header, Reason::OtherService);
+        };
+        let header = &header.with_age(header.age());
+        let since = now.checked_sub(header.age()).unwrap_or(now);
+        let opening = QueuedOpening::new(now, since, header, packet, policy);
+        let is_answerable = self.is_answerable(now, &opening);
+        if is_answerable && self.queue.is_empty() && self.busy < self.slots() {
             return self.accept(now, header, packet);
         }
         let faster = self.faster_peers();
         if can_redirect && let Some(to) = self.choose_peer(now, from, key, faster) {
             return self.redirect_to(now, to, header, Reason::Busy);
         }
-        let has_capacity = self.queue.is_empty() && self.has_capacity(now, key);
-        // The service times of the requests before it deviate.
-        let margin = self.work_time(now);
-        if has_capacity && self.is_in_time(now, since, key, margin) {
-            self.record_share(now, key);
+        let load = self.server_load(now);
+        let ahead = self.queue.ahead_at_server(load, &opening);
+        let meets_target = self.queue.meets_target(load, &opening, ahead);
+        if meets_target && self.queue.is_empty() && self.has_capacity(now, &opening) {
             return self.accept(now, header, packet);
         }
         if can_redirect && let Some(to) = self.take_slot_offer(now, from, key) {
             return self.redirect_to(now, to, header, Reason::SlotOffered);
         }
-        self.enqueue(now, since, from, header, packet)
+        self.enqueue(now, from, opening)
     }
 
-    /// When the caller sent its first packet: a copy of this one, or that of an attempt that was refused just before.
-    fn first_seen(&mut self, now: Instant, header: &Header) -> Instant {
-        let sent_at = now.checked_sub(header.age()).unwrap_or(now);
-        let refused = self.refused.take_first_seen(now, header.caller_flow());
-        refused.map_or(sent_at, |at| at.min(sent_at))
+    /// Whether the response to a request that is delivered to the server now can come within its caller's time.
+    fn is_answerable(&self, now: Instant, opening: &QueuedOpening) -> bool {
+        let load = self.server_load(now);
+        let ahead = self.queue.ahead_at_server(load, opening);
+        self.queue.is_answerable(load, opening, ahead)
     }
 
     /// Whether the server is suspended and no probe is due.
@@ -137,56 +138,45 @@
         self.outlier.is_suspended() && !self.outlier.take_probe(now)
     }
 
-    /// Returns the expected service time of a request at the server.
+    /// Returns the expected service time of a request at the server, or the unit of comparisons if nothing is known.
     pub fn work_time(&self, now: Instant) -> Duration {
-        self.work.time(self.server.is_cold(now))
+        self.work.or_unit(self.server.is_cold(now))
+    }
+
+    /// Returns the expected service time of a request at the server, zero if nothing is known.
+    pub(super) fn known_work(&self, now: Instant) -> Duration {
+        let work = self.work.expected(self.server.is_cold(now));
+        work.unwrap_or_default()
     }
 
     /// Returns the state of the server that decides how long queued packets wait.
     pub(super) fn server_load(&self, now: Instant) -> ServerLoad {
         ServerLoad {
             now,
-            work: self.work_time(now),
+            work: self.known_work(now),
+            excess: self.work.excess(),
             busy: self.busy,
             slots: self.slots(),
         }
     }
 
-    /// Largest queue length at which the server completes all requests within `longest`.
-    fn max_queue_len(&self, now: Instant, longest: Duration) -> usize {
-        let work = self.work_time(now).as_secs_f64().max(f64::EPSILON);
-        let turns = (longest.as_secs_f64() / work - 1.0).max(0.0);
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "not negative, and a limit truncated to the range of `u32` is still a limit"
-        )]
-        let all = (turns * f64::from(self.slots())) as u32;
-        all.saturating_sub(self.busy) as usize
-    }
-
-    /// Expected completion time of a request that is delivered to the server now.
-    fn completion_if_admitted(&self, now: Instant) -> Duration {
-        placement::completion(self.work_time(now), self.busy, self.slots())
-    }
-
     /// Number of requests at the server, on their way to it, and in the admission queue.
     pub(super) fn total_requests(&self) -> u32 {
         let queued = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
         self.busy.saturating_add(queued)
     }
 
-    /// Whether the server can take another request with the policy of that flow. A server that is not measured yet may be
-    /// far slower than its measured peers, so nothing queues there.
-    fn has_capacity(&self, now: Instant, key: FlowKey) -> bool {
+    /// Whether the server can take another opening packet. A server that is not measured yet may be far slower than its
+    /// measured peers, so nothing queues there.
+    fn has_capacity(&self, now: Instant, opening: &QueuedOpening) -> bool {
         let is_new = self.work.measured().is_none();
         let has_measured_peers = self.work.expected(self.server.is_cold(now)).is_some();
         if is_new && has_measured_peers && self.busy >= self.slots() {
             return false;
         }
-        let policy = self.map.route(key.service).map(|r| r.policy);
-        let target = policy.map_or(Duration::ZERO, |t| t.target);
-        let capacity = gate::capacity(self.work_time(now), self.busy, self.slots(), target);
+        let left = opening.time_to_target(now);
+        let left = left.saturating_sub(self.queue.overhead());
+        let capacity = gate::capacity(self.known_work(now), self.busy, self.slots(), left);
         capacity == Capacity::Available
     }
 
@@ -200,65 +190,62 @@
         }
     }
 
-    /// Whether a request that is delivered to the server now would be answered on time, with `margin` to spare.
-    fn is_in_time(&self, now: Instant, since: Instant, key: FlowKey, margin: Duration) -> bool {
-        let route = self.map.route(key.service);
-        route.is_some_and(|r| {
-            let left = (since + r.policy.target).saturating_duration_since(now);
-            self.completion_if_admitted(now) + self.queue.overhead() + margin <= left
-        })
+    /// Queues an opening packet, and decides anew on all that wait.
+    fn enqueue(&mut self, now: Instant, from: Ipv4Addr, opening: QueuedOpening) -> Disposition {
+        let (key, hops) = (opening.header.caller_flow(), opening.header.trail.hops);
+        self.queue.push(opening);
+        self.settle(now, from);
+        self.deliver_queued(now);
+        if self.queue.contains(key) {
+            self.record_decision(Decision {
+                busy: Some(self.total_requests()),
+                hops,
+                ..Decision::new(Step::Waits, key, self.map.index)
+            });
+        }
+        Disposition::Drop
     }
 
-    /// Queues an opening packet. Packets that cannot be on time behind others are redirected to a peer that can
-    /// complete them in time, or wait for spare capacity. Those that would wait in vain are refused at once.
-    fn enqueue(
-        &mut self,
-        now: Instant,
-        since: Instant,
-        from: Ipv4Addr,
-        header: &Header,
-        packet: &[u8],
-    ) -> Disposition {
-        let key = header.caller_flow();
-        let Some(policy) = self.map.route(key.service).map(|r| r.policy) else {
-            return self.refuse(now, header, Reason::OtherService);
-        };
-        self.queue.push(now, since, header, packet, policy);
+    /// Redirects the queued packets that cannot be served in time here to a peer that is expected to do so, and refuses
+    /// those whose response can no longer come within the time that their callers have.
+    fn settle(&mut self, now: Instant, from: Ipv4Addr) {
         let load = self.server_load(now);
-        for w in self.queue.take_overdue(load, key) {
-            self.redirect_overdue(now, from, w);
+        for w in self.queue.take_late(load) {
+            let left = w.time_to_target(now);
+            if let Some(w) = self.redirect_late(now, from, w, left) {
+                self.queue.push_late(w);
+            }
         }
-        for w in self.queue.take_unservable(load) {
-            self.refuse_queued(now, &w, Reason::Busy);
+        for w in self.queue.take_unanswerable(load) {
+            let left = w.time_to_answer(now);
+            if let Some(w) = self.redirect_late(now, from, w, left) {
+                self.refuse_queued(now, &w, Reason::Busy);
+            }
         }
-        let most = self.max_queue_len(now, max_queue_time(policy));
-        for w in self.queue.trim(now, self.completion_if_admitted(now), most) {
+        for w in self.queue.trim(load) {
             self.refuse_queued(now, &w, Reason::Busy);
         }
-        if !self.queue.contains(key) {
-            return Disposition::Drop;
-        }
-        self.record_decision(Decision {
-            busy: Some(self.total_requests()),
-            hops: header.trail.hops,
-            ..Decision::new(Step::Waits, key, self.map.index)
-        });
-        Disposition::Drop
     }
 
-    /// Redirects a packet that cannot be on time here to a peer that is expected to complete it in time, or lets it
-    /// wait for spare capacity.
-    fn redirect_overdue(&mut self, now: Instant, from: Ipv4Addr, w: QueuedOpening) {
-        let spent = self.work_time(now) + self.queue.overhead();
-        let limit = w.time_to_respond(now).saturating_sub(spent);
-        let may_redirect = w.header.trail.hops < MAX_OVERDUE_HOPS;
-        let filter = PeerFilter::CompletesWithin(limit);
-        let flow = w.header.caller_flow();
-        let peer = may_redirect.then(|| self.choose_peer(now, from, flow, filter));
-        match peer.flatten() {
-            Some(to) => self.forward_queued(now, to, &w, Reason::Busy),
-            None => self.queue.push_overdue(w),
+    /// Redirects a packet to a peer that is expected to complete it within `left`; returns it if there is none. The peer's
+    /// report is about as old as a request takes.
+    fn redirect_late(
+        &mut self,
+        now: Instant,
+        from: Ipv4Addr,
+        w: QueuedOpening,
+        left: Duration,
+    ) -> Option<QueuedOpening> {
+        if w.header.trail.hops >= MAX_LATE_HOPS {
+            return Some(w);
         }
+        let spent = self.known_work(now) + self.queue.overhead();
+        let filter = PeerFilter::CompletesWithin(left.saturating_sub(spent));
+        let Some(to) = self.choose_peer(now, from, w.header.caller_flow(), filter) else {
+            return Some(w);
+        };
+        self.forward_queued(now, to, &w, Reason::Busy);
+        None
     }
 
     /// Sends a packet that was taken from the queue to a peer.
@@ -269,58 +256,60 @@
         w: &QueuedOpening,
         why: Reason,
     ) {
-        let age = now.saturating_duration_since(w.since());
-        let disposition = self.redirect_to(now, to, &w.header.with_age(age), why);
+        let header = w.header.with_age(w.age(now));
+        let disposition = self.redirect_to(now, to, &header, why);
         if let Disposition::Forward { to, trail } = disposition {
             let packet = w.packet.clone();
             self.actions.push(Action::Forward { to, trail, packet });
         }
     }
 
-    /// Delivers queued opening packets to the server while it has capacity.
+    /// Decides anew on the queued opening packets, and delivers them to the server while it has capacity.
     pub(super) fn admit(&mut self, now: Instant) {
         if self.queue.is_empty() {
             return;
         }
-        for w in self.queue.take_expired(now) {
-            self.refuse_queued(now, &w, Reason::Busy);
+        self.redirect_rejected(now);
+        self.settle(now, self.mesh.own().ip);
+        self.deliver_queued(now);
+    }
+
+    fn deliver_queued(&mut self, now: Instant) {
+        if self.queue.is_empty() || gate::is_full(self.busy, self.slots()) {
+            return;
         }
-        let is_rejecting = self.server.unavailability(now).is_some() || self.is_stopping;
-        while let Some(next) = self.queue.next(now, self.completion_if_admitted(now)) {
-            let key = next.flow;
-            let has_capacity = if next.is_late {
-                gate::would_idle(self.busy, self.slots())
-            } else {
-                self.has_capacity(now, key)
-            };
-            if !is_rejecting && !has_capacity {
+        while let Some(key) = self.queue.next(self.server_load(now)) {
+            let next = self.queue.get(key).filter(|w| self.has_capacity(now, w));
+            if next.is_none() {
                 return;
             }
-            let Some(w) = self.queue.remove(key) else {
-                return;
-            };
-            let rejection_reason = gate::rejection_reason(now, &self.map, &self.server, key);
-            if let Some(reason) =
-                rejection_reason.or_else(|| self.is_stopping.then_some(Reason::Draining))
-            {
-                self.redirect_queued(now, &w, reason);
-            } else {
-                if !next.is_late {
-                    self.record_share(now, key);
-                }
-                self.accept(now, &w.header, &w.packet);
+            if let Some(w) = self.queue.remove(key) {
+                self.accept(now, &w.header.with_age(w.age(now)), &w.packet);
                 self.actions.push(Action::Deliver(w.packet));
             }
         }
     }
 
-    fn redirect_queued(&mut self, now: Instant, w: &QueuedOpening, reason: Reason) {
+    /// Redirects or refuses the queued packets that must not go to the server any more.
+    fn redirect_rejected(&mut self, now: Instant) {
         let own = self.mesh.own().ip;
-        if let Disposition::Forward { to, trail } =
-            self.redirect_or_refuse(now, own, &w.header, reason)
-        {
-            let packet = w.packet.clone();
-            self.actions.push(Action::Forward { to, trail, packet });
+        let reason_for = |key| {
+            let reason = gate::rejection_reason(now, &self.map, &self.server, key);
+            reason.or_else(|| self.is_stopping.then_some(Reason::Draining))
+        };
+        let rejected = self.queue.flows().filter_map(|f| Some((f, reason_for(f)?)));
+        let mut rejected: Vec<_> = rejected.collect();
+        rejected.sort_unstable_by_key(|(flow, _)| *flow);
+        for (key, reason) in rejected {
+            let Some(w) = self.queue.remove(key) else {
+                continue;
+            };
+            let header = w.header.with_age(w.age(now));
+            let disposition = self.redirect_or_refuse(now, own, &header, reason);
+            if let Disposition::Forward { to, trail } = disposition {
+                let packet = w.packet;
+                self.actions.push(Action::Forward { to, trail, packet });
+            }
         }
     }
 
@@ -347,7 +336,8 @@
         self.redirects.remove(&key);
         self.flows.insert(key, flow);
         self.answer_deadlines.push_back((now + ANSWER_TIMEOUT, key));
-        self.request_deadlines.push_back((until, key));
+        self.request_deadlines.push(Reverse((until, key)));
+        self.record_share(now, key);
         let age = self.server.age(now);
         self.record_decision(Decision {
             age,
@@ -378,18 +368,16 @@
 
     /// Refuses an opening packet and resets the flow, so that the caller can retry or give up at once.
     fn refuse(&mut self, now: Instant, header: &Header, reason: Reason) -> Disposition {
-        let since = now.checked_sub(header.age());
-        self.refuse_after(now, since.unwrap_or(now), header, reason, None)
+        self.refuse_after(now, header, reason, None)
     }
 
     fn refuse_queued(&mut self, now: Instant, w: &QueuedOpening, reason: Reason) {
-        self.refuse_after(now, w.since(), &w.header, reason, Some(w.waited(now)));
+        self.refuse_after(now, &w.header, reason, Some(w.waited(now)));
     }
 
     fn refuse_after(
         &mut self,
         now: Instant,
-        since: Instant,
         header: &Header,
         reason: Reason,
         waited: Option<Duration>,
@@ -404,15 +392,6 @@
             ..Decision::new(Step::Refused, key, self.map.index)
         });
         if reason != Reason::NoMap {
-            let attempt = RefusedAttempt {
-                flow: key,
-                first_seen_at: since,
-                refused_at: now,
-            };
-            let route = self.map.route(key.service);
-            if let Some(target) = route.map(|r| r.policy.target) {
-                self.refused.on_refused(attempt, target);
-            }
             self.actions.push(Action::Reset { flow: key, seq: 0 });
         }
         Disposition::Drop
--- a/crates/core/src/forwarded/agent/requests.rs
+++ b/crates/core/src/forwarded/agent/requests.rs
@@ -1,5 +1,6 @@
 //! The requests at an agent's server: which are expected, which are running, and how long they take.
 
+use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
 use super::{Agent, RequestState, WORK_TIMEOUT};
@@ -34,7 +35,9 @@
     pub(super) fn on_request(&mut self, now: Instant, key: FlowKey) {
         if let Some(flow) = self.flows.get(&key) {
             match (flow.request_state, flow.answered_at) {
-                (RequestState::Expected { .. }, Some(at)) => {
+                (RequestState::Expected { .. } | RequestState::Idle, Some(at))
+                    if flow.answers == 0 =>
+                {
                     let round_trip = now.saturating_duration_since(at);
                     self.queue.record_round_trip(round_trip);
                 }
@@ -50,11 +53,9 @@
         self.set_request_state(now, key, RequestState::Running { since, until });
     }
 
-    /// Records that a request takes capacity of the server. Counted when it is accepted, at the mean service time: counted by
-    /// the time that it took, the share of the urgent ones rose so far that most others were accepted as late ones, which do
-    /// not count, and the spare capacity seemed large while the server was full.
+    /// Records that a request takes capacity of the server. Counted when it is accepted, at the mean service time.
     pub(super) fn record_share(&mut self, now: Instant, key: FlowKey) {
-        let (work, slots) = (self.work_time(now), self.slots());
+        let (work, slots) = (self.known_work(now), self.slots());
         if let Some(route) = self.map.route(key.service) {
             self.queue
                 .record_share(now, route.policy.priority, work, slots);
@@ -118,10 +119,10 @@
     }
 
     pub(super) fn expire_request_deadlines(&mut self, now: Instant) {
-        while let Some((at, key)) = self.request_deadlines.front().copied()
+        while let Some(Reverse((at, key))) = self.request_deadlines.peek().copied()
             && at <= now
         {
-            self.request_deadlines.pop_front();
+            self.request_deadlines.pop();
             let flow = self.flows.get(&key);
             if flow.is_some_and(|f| f.request_state.is_overdue(now)) {
                 self.set_request_state(now, key, RequestState::Idle);
--- a/crates/core/src/forwarded/agent/server_packets.rs
+++ b/crates/core/src/forwarded/agent/server_packets.rs
@@ -1,5 +1,6 @@
 //! Packets that an agent's server sends or hands back.
 
+use std::cmp::Reverse;
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
@@ -7,10 +8,6 @@
 use crate::forwarded::decision::{Decision, Reason, Step};
 use crate::forwarded::packet::{Flags, FlowKey, Header, Purpose, Trail};
 
-/// Time in which a caller sends its request once the flow is open: a round trip, and the retransmission of a
-/// lost packet.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
-
 impl Agent {
     /// Handles a packet that the server sent or bounced.
     pub fn on_server_packet(&mut self, now: Instant, header: &Header) -> Disposition {
@@ -45,8 +42,8 @@
             self.notify_balancer(key, trail);
         }
         if header.flags.has(Flags::SYN) {
-            let until = now + REQUEST_TIMEOUT;
-            self.request_deadlines.push_back((until, key));
+            let until = now + self.queue.request_timeout();
+            self.request_deadlines.push(Reverse((until, key)));
             self.extend_request_deadline(key, until);
         }
         let has_completed = header.len > 0 && self.on_answer(now, key, header.len);
--- a/crates/core/src/forwarded/agent/slots.rs
+++ b/crates/core/src/forwarded/agent/slots.rs
@@ -54,9 +54,8 @@
 
     /// Handles an offer of `from` to take an opening packet.
     pub fn on_slot_offer(&mut self, now: Instant, from: Ipv4Addr) {
-        // The peer starts the request at once.
         let work = self.work_time(now);
-        let waiting = self.queue.in_order(now, work);
+        let waiting = self.queue.in_order(self.server_load(now));
         let mut usable = waiting.iter().copied();
         let next = usable.find(|flow| self.may_redirect_to(now, from, *flow));
         match next.and_then(|flow| self.queue.remove(flow)) {
--- a/crates/core/src/forwarded/capacity_shares.rs
+++ b/crates/core/src/forwarded/capacity_shares.rs
@@ -1,17 +1,16 @@
 //! Shares of a server's capacity that requests of each priority take.
 //!
-//! The case that this handles: a burst of urgent requests. Each one that arrives later starts before the less
-//! urgent ones that wait already, so these progress only with the capacity that the urgent ones leave. A queue
-//! that counted only the requests ahead at arrival would accept many that become late.
+//! The case that this handles: urgent requests take much of the capacity. Each one that arrives later starts before the
+//! less urgent ones that wait already, so these progress only with the capacity that the urgent ones leave. If only the
+//! requests ahead counted, a less urgent caller would wait nearly as long as it can, and be refused in the end.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 /// Time constant of the moving averages: some 50 requests of a server, and a small part of a burst of seconds.
 const WINDOW: Duration = Duration::from_secs(1);
-/// Largest share that more urgent requests count for. With a larger one, nothing less urgent would be accepted
-/// after a short burst.
-const MAX_URGENT_SHARE: f64 = 0.9;
+/// Largest share that more urgent requests count for; leaves a number to divide by.
+const MAX_URGENT_SHARE: f64 = 0.99;
 /// Share below which a priority is forgotten.
 const NEGLIGIBLE: f64 = 0.001;
 
@@ -50,10 +49,4 @@
         let share: f64 = urgent.map(|(_, s)| s.now(now)).sum();
         share.min(MAX_URGENT_SHARE)
     }
-
-    /// Share that no request takes.
-    pub fn spare(&self, now: Instant) -> f64 {
-        let taken: f64 = self.by_priority.values().map(|s| s.now(now)).sum();
-        (1.0 - taken).max(0.0)
-    }
 }
--- a/crates/core/src/forwarded/gate.rs
+++ b/crates/core/src/forwarded/gate.rs
@@ -15,16 +15,10 @@
 
 /// Requests per slot up to which a server always has capacity: one that is processed, and one that is queued
 /// behind it or on its way.
-const UNCONDITIONAL_PER_SLOT: u32 = 2;
+pub(super) const UNCONDITIONAL_PER_SLOT: u32 = 2;
 /// Requests per slot from which a server gets nothing more. Further requests would only wait in the server's
 /// FIFO queue.
 const MAX_PER_SLOT: u32 = 3;
-/// Late requests that may be on their way to a server whose slots are all in use; opening a flow takes about
-/// half as long as a request.
-const MAX_LATE_AHEAD: u32 = 1;
-/// Response time beyond the time at the server: opening the flow, the path in both directions, and the
-/// deviation of the service time from its mean.
-const OVERHEAD: Duration = Duration::from_millis(40);
 /// Share of the configured rate that a cold server gets; the rest is reserved for packets already on their
 /// way.
 const COLD_SHARE: f64 = 0.9;
@@ -40,25 +34,23 @@
     Exhausted,
 }
 
-/// Returns the capacity of a server with `busy` requests and a service time of `work`, for a request that
-/// should be answered within `target`. A slow server, for instance a cold one, gets fewer requests: those
-/// that it cannot complete in time wait at the agent, where newer requests may overtake them.
-pub fn capacity(work: Duration, busy: u32, slots: u32, target: Duration) -> Capacity {
+/// Returns the capacity of a server with `busy` requests and a service time of `work`, for a request whose response
+/// meets its target latency if it is complete within `left`. A request that would be late waits at the agent, where more
+/// urgent ones may overtake it, and not in the server's FIFO queue.
+pub fn capacity(work: Duration, busy: u32, slots: u32, left: Duration) -> Capacity {
     let slots = slots.max(1);
-    let is_late = placement::completion(work, busy, slots).saturating_add(OVERHEAD) > target;
-    let is_at = |per_slot| busy >= slots.saturating_mul(per_slot);
-    if is_at(MAX_PER_SLOT) || (is_at(UNCONDITIONAL_PER_SLOT) && is_late) {
+    let is_late = placement::completion(work, busy, slots) > left;
+    let has_queue = busy >= slots.saturating_mul(UNCONDITIONAL_PER_SLOT);
+    if is_full(busy, slots) || (has_queue && is_late) {
         Capacity::Exhausted
     } else {
         Capacity::Available
     }
 }
 
-/// Whether a server with `busy` requests is about to become idle. Only then does it get a request whose
-/// response will be late anyway: under sustained overload, a request that can still be on time arrives within
-/// milliseconds.
-pub fn would_idle(busy: u32, slots: u32) -> bool {
-    busy < slots.max(1).saturating_add(MAX_LATE_AHEAD)
+/// Whether a server with `busy` requests gets nothing more, whatever the request.
+pub fn is_full(busy: u32, slots: u32) -> bool {
+    busy >= slots.max(1).saturating_mul(MAX_PER_SLOT)
 }
 
 /// Returns why `flow` must not go to `server`, load aside; `None` if it may.
--- a/crates/core/src/forwarded/placement.rs
+++ b/crates/core/src/forwarded/placement.rs
@@ -102,7 +102,7 @@
             None => (report.flows / FLOWS_PER_REQUEST, 0.0),
         };
         ExpectedLoad {
-            work: work_time::or_default(report.work, report.is_cold),
+            work: work_time::or_unit(report.work),
             busy: self.busy(received).saturating_add(flows),
             slots: report.slots,
             flow_requests,
@@ -123,10 +123,16 @@
     /// Returns the drawn candidate with the earliest completion; of equal ones, the first.
     fn earliest_completion<'a>(&self, drawn: Vec<Candidate<'a>>) -> Option<Candidate<'a>> {
         drawn.into_iter().reduce(|best, next| {
-            let is_earlier = self
-                .expected(next.received)
-                .is_earlier_than(&self.expected(best.received));
-            if is_earlier { next } else { best }
+            let (load, best_load) = (self.expected(next.received), self.expected(best.received));
+            // A server that has just started is slow, even if none of the service is measured.
+            let is_warmer = best.received.report.is_cold && !next.received.report.is_cold;
+            let is_as_early = is_warmer && !best_load.is_earlier_than(&load);
+            let is_earlier = load.is_earlier_than(&best_load);
+            if is_earlier || is_as_early {
+                next
+            } else {
+                best
+            }
         })
     }
 }
--- a/crates/core/src/forwarded/work_time.rs
+++ b/crates/core/src/forwarded/work_time.rs
@@ -9,13 +9,14 @@
 
 use super::report::ServerReport;
 
-/// Assumed service time of a service of which no server is measured; that of quick checks and orders.
-const DEFAULT_WORK: Duration = Duration::from_millis(15);
-/// Factor by which the service time of a server that has just started is longer.
-const COLD_FACTOR: f64 = 1.6;
+/// Unit in which the loads of a service's servers are compared while none of them is measured. Any value gives the
+/// same order.
+const UNMEASURED_WORK: Duration = Duration::from_millis(15);
 /// Number of requests that the moving average covers. Over ten, the mean of requests whose deviation is half of
 /// their mean was off by 11%, and the servers that seemed the fastest got the most flows.
 const MEASURED_REQUESTS: u32 = 32;
+/// Number of mean deviations by which few requests exceed the mean service time: of normally distributed ones, 1 in 18.
+const EXCESS_DEVIATIONS: u32 = 2;
 /// Weight of a new measurement in the moving averages of outlier detection; about the last ten requests count.
 pub(super) const NEWEST_SHARE: f64 = 0.1;
 
@@ -23,6 +24,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct WorkTime {
     mean: Option<Duration>,
+    /// Mean deviation from the mean.
+    deviation: Duration,
     /// Number of measurements, up to [`MEASURED_REQUESTS`].
     measurements: u32,
     peers: PeerWorkTimes,
@@ -42,9 +45,13 @@
     pub fn record(&mut self, newest: Duration) {
         self.measurements = (self.measurements + 1).min(MEASURED_REQUESTS);
         let newest_share = f64::from(self.measurements).recip();
-        self.mean = Some(self.mean.map_or(newest, |mean| {
-            mean.mul_f64(1.0 - newest_share) + newest.mul_f64(newest_share)
-        }));
+        let average = |before: Duration, newest: Duration| {
+            before.mul_f64(1.0 - newest_share) + newest.mul_f64(newest_share)
+        };
+        if let Some(mean) = self.mean {
+            self.deviation = average(self.deviation, newest.abs_diff(mean));
+        }
+        self.mean = Some(self.mean.map_or(newest, |mean| average(mean, newest)));
     }
 
     /// Sets the service times of the service's other servers.
@@ -57,15 +64,20 @@
         self.mean
     }
 
+    /// Returns by how much a request may take longer than the mean; few take longer still. Zero until it is measured.
+    pub fn excess(self) -> Duration {
+        self.deviation.saturating_mul(EXCESS_DEVIATIONS)
+    }
+
     /// Returns the measured service time or that of the other servers; `None` if neither is known.
     /// `is_cold` tells whether the server has just started.
     pub fn expected(self, is_cold: bool) -> Option<Duration> {
         self.mean.or_else(|| self.peers.expected(is_cold))
     }
 
-    /// Returns the expected service time, or the default if nothing is known.
-    pub fn time(self, is_cold: bool) -> Duration {
-        or_default(self.expected(is_cold), is_cold)
+    /// Returns the expected service time, or the unit of comparisons if nothing is known.
+    pub fn or_unit(self, is_cold: bool) -> Duration {
+        or_unit(self.expected(is_cold))
     }
 }
 
@@ -84,22 +96,16 @@
 
     fn expected(self, is_cold: bool) -> Option<Duration> {
         if is_cold {
-            self.cold.or_else(|| Some(self.warm?.mul_f64(COLD_FACTOR)))
+            self.cold.or(self.warm)
         } else {
-            self.warm.or_else(|| Some(self.cold?.div_f64(COLD_FACTOR)))
+            self.warm.or(self.cold)
         }
     }
 }
 
-/// Returns the reported service time of a server, or the default if nothing is known.
-pub(super) fn or_default(reported: Option<Duration>, is_cold: bool) -> Duration {
-    reported.unwrap_or_else(|| {
-        if is_cold {
-            DEFAULT_WORK.mul_f64(COLD_FACTOR)
-        } else {
-            DEFAULT_WORK
-        }
-    })
+/// Returns the reported service time of a server, or the unit of comparisons if nothing is known.
+pub(super) fn or_unit(reported: Option<Duration>) -> Duration {
+    reported.unwrap_or(UNMEASURED_WORK)
 }
 
 /// Returns the median; of an even number of values, the lower one of the two in the middle.
--- a/crates/wire/src/convert/forwarded.rs
+++ b/crates/wire/src/convert/forwarded.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use dogwoodrill_core::forwarded::inquiry::Denial;
 use dogwoodrill_core::forwarded::keepers::FlowLocation;
@@ -14,7 +14,6 @@
 use dogwoodrill_core::forwarded::report::{
     BootId, Heartbeat, ResponseStats, ServerPresence, ServerReport,
 };
-use dogwoodrill_core::forwarded::returning::RefusedAttempt;
 use dogwoodrill_core::forwarded::service_map::{
     RequestPolicy, RequestRate, Route, RouteTable, ServiceLabel, ServiceMap, ServicePolicy, Target,
     Weight,
@@ -38,8 +37,6 @@
     pub agents_without_earlier_flows: Vec<Ipv4Addr>,
     /// Number of opening packets waiting at the receiver that the sender's idle server can take now.
     pub idle_slots: u32,
-    /// Attempts of callers that the sender has refused.
-    pub refused: Vec<AgedRefusal>,
     /// Negative replies to flow searches of the receiver: flows that are not at the sender.
     pub denials: Vec<Denial>,
 }
@@ -52,7 +49,6 @@
             nodes: Vec::new(),
             node_list_hash: None,
             idle_slots: 0,
-            refused: Vec::new(),
             agents_without_earlier_flows: Vec::new(),
             denials: Vec::new(),
         }
@@ -77,7 +73,6 @@
             young: heartbeat.server_presence.is_recently_started,
             node_list_hash: d.node_list_hash.map(Into::into),
             idle_slots: d.idle_slots,
-            refused: d.refused.iter().map(Into::into).collect(),
         }
     }
 }
@@ -90,7 +85,6 @@
         let report = d.report.map(ServerReport::try_from).transpose()?;
         let flow_locations = d.places.into_iter().map(FlowLocation::try_from);
         let denials = d.denials.into_iter().map(Denial::try_from);
-        let refused = d.refused.into_iter().map(AgedRefusal::try_from);
         let nodes = d.nodes.unwrap_or_default();
         let agents_without_earlier_flows = nodes.fresh_agents.iter().copied();
         Ok(Self {
@@ -112,7 +106,6 @@
             nodes: node_addresses(nodes),
             node_list_hash: d.node_list_hash.map(Into::into),
             idle_slots: d.idle_slots,
-            refused: refused.collect::<Result<_, _>>()?,
             denials: denials.collect::<Result<_, _>>()?,
         })
     }
@@ -272,63 +265,6 @@
     }
 }
 
-/// A refused attempt of a caller, by ages instead of the clock of a process.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct AgedRefusal {
-    /// The flow that was refused.
-    pub flow: FlowKey,
-    /// Age of the caller's first packet.
-    pub first_seen_age: Duration,
-    /// Time since the refusal.
-    pub refused_age: Duration,
-}
-
-impl AgedRefusal {
-    /// Creates the form that is sent at `now`.
-    pub fn new(now: Instant, attempt: &RefusedAttempt) -> Self {
-        Self {
-            flow: attempt.flow,
-            first_seen_age: now.saturating_duration_since(attempt.first_seen_at),
-            refused_age: now.saturating_duration_since(attempt.refused_at),
-        }
-    }
-
-    /// Returns the attempt of a message received at `now`.
-    pub fn into_attempt(self, now: Instant) -> RefusedAttempt {
-        RefusedAttempt {
-            flow: self.flow,
-            first_seen_at: now.checked_sub(self.first_seen_age).unwrap_or(now),
-            refused_at: now.checked_sub(self.refused_age).unwrap_or(now),
-        }
-    }
-}
-
-impl From<&AgedRefusal> for wire::RefusedAttempt {
-    fn from(r: &AgedRefusal) -> Self {
-        Self {
-            caller_ip: r.flow.caller.ip().to_bits(),
-            caller_port: r.flow.caller.port().into(),
-            service_ip: r.flow.service.ip().to_bits(),
-            service_port: r.flow.service.port().into(),
-            first_seen_ms: millis(r.first_seen_age),
-            refused_ms: millis(r.refused_age),
-        }
-    }
-}
-
-impl TryFrom<wire::RefusedAttempt> for AgedRefusal {
-    type Error = ConvertError;
-
-    fn try_from(r: wire::RefusedAttempt) -> Result<Self, Self::Error> {
-        let caller = (r.caller_ip, r.caller_port);
-        Ok(Self {
-            flow: flow_key(caller, (r.service_ip, r.service_port))?,
-            first_seen_age: Duration::from_millis(r.first_seen_ms.into()),
-            refused_age: Duration::from_millis(r.refused_ms.into()),
-        })
-    }
-}
-
 fn flow_key(caller: (u32, u32), service: (u32, u32)) -> Result<FlowKey, ConvertError> {
     Ok(FlowKey {
         caller: socket_address("caller port", caller.0, caller.1)?,
--- a/crates/wire/tests/testsuite/forwarded.rs
+++ b/crates/wire/tests/testsuite/forwarded.rs
@@ -311,3 +311,47 @@
     let locations = wire::Datagram::from(&locations).encoded_len() - empty;
     assert_eq!((table / 350, locations / 40), (21, 24));
 }
+
+/// A datagram of the previous version with the attempts of callers that its sender has refused.
+#[derive(Clone, PartialEq, Message)]
+struct DatagramWithRefusals {
+    #[prost(fixed64, tag = "1")]
+    boot: u64,
+    #[prost(int32, tag = "2")]
+    role: i32,
+    #[prost(message, repeated, tag = "13")]
+    refused: Vec<RefusedAttempt>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct RefusedAttempt {
+    #[prost(fixed32, tag = "1")]
+    caller_ip: u32,
+    #[prost(uint32, tag = "2")]
+    caller_port: u32,
+    #[prost(uint32, tag = "6")]
+    refused_ms: u32,
+}
+
+/// Guards against nodes of the previous version that are not understood: what they say of refused attempts is skipped.
+#[test]
+fn refused_attempts_of_the_previous_version_are_skipped() {
+    let attempt = RefusedAttempt {
+        caller_ip: 1,
+        caller_port: 70_000,
+        refused_ms: 20,
+    };
+    let previous = DatagramWithRefusals {
+        boot: 7,
+        role: wire::Role::Agent.into(),
+        refused: vec![attempt; 32],
+    };
+    let datagram = wire::Datagram::decode(&*previous.encode_to_vec()).unwrap();
+    let expected = wire::Datagram {
+        boot: 7,
+        role: wire::Role::Agent.into(),
+        ..wire::Datagram::default()
+    };
+    assert_eq!(datagram, expected);
+    Datagram::try_from(datagram).unwrap();
+}
--- a/src/forwarded/agent.rs
+++ b/src/forwarded/agent.rs
@@ -300,14 +300,9 @@
             self.node_io.journal.write_event(event);
             self.agent.mesh_mut().schedule_heartbeats(now, now);
         }
-        let refused = self.agent.refused_attempts(now);
-        self.node_io.datagrams.send_heartbeats(
-            now,
-            self.agent.mesh_mut(),
-            index,
-            report.as_ref(),
-            &refused,
-        );
+        self.node_io
+            .datagrams
+            .send_heartbeats(now, self.agent.mesh_mut(), index, report.as_ref());
         self.send_keeper_updates(index.get());
         let ready = self.agent.map().table.is_some() && self.stop_at.is_none();
         self.ready
@@ -467,7 +462,6 @@
             self.agent
                 .on_flow_locations(now, from, flow_updates.locations);
             self.agent.on_denials(from, flow_updates.denials);
-            self.agent.on_refused_attempts(flow_updates.refused);
             for _ in 0..flow_updates.idle_slots.min(MAX_IDLE_SLOTS_PER_DATAGRAM) {
                 self.agent.on_slot_offer(now, from);
             }
--- a/src/forwarded/balancer.rs
+++ b/src/forwarded/balancer.rs
@@ -141,7 +141,7 @@
         let index = self.balancer.map().index;
         self.node_io
             .datagrams
-            .send_heartbeats(now, self.balancer.mesh_mut(), index, None, &[]);
+            .send_heartbeats(now, self.balancer.mesh_mut(), index, None);
         let can_become_ready = now >= self.ready_from || self.balancer.has_seen_all_agents();
         let ready = self.balancer.is_ready(now) && can_become_ready && self.stop_at.is_none();
         if self
--- a/src/forwarded/datagrams.rs
+++ b/src/forwarded/datagrams.rs
@@ -5,12 +5,11 @@
 
 use dogwoodrill_core::forwarded::keepers::FlowLocation;
 use dogwoodrill_core::forwarded::mesh::Mesh;
-use dogwoodrill_core::forwarded::node::{NodeAddress, NodeRole, NodeSettings};
+use dogwoodrill_core::forwarded::node::{NodeAddress, NodeSettings};
 use dogwoodrill_core::forwarded::report::{BootId, Heartbeat, ServerPresence, ServerReport};
-use dogwoodrill_core::forwarded::returning::RefusedAttempt;
 use dogwoodrill_core::ids::LogIndex;
 use dogwoodrill_wire::convert::ConvertError;
-use dogwoodrill_wire::convert::forwarded::{AgedRefusal, Datagram};
+use dogwoodrill_wire::convert::forwarded::Datagram;
 use dogwoodrill_wire::proto::forwarded as wire;
 use prost::Message;
 use snafu::Snafu;
@@ -130,25 +129,19 @@
         }
     }
 
-    /// Queues heartbeats to the nodes for which one is due. Those to agents contain the `refused` attempts.
+    /// Queues heartbeats to the nodes for which one is due.
     pub fn send_heartbeats(
         &mut self,
         now: Instant,
         mesh: &mut Mesh,
         index: LogIndex,
         report: Option<&ServerReport>,
-        refused: &[RefusedAttempt],
     ) {
-        let refused: Vec<_> = refused.iter().map(|r| AgedRefusal::new(now, r)).collect();
         for node in mesh.take_due_heartbeats(now) {
             let last_seen_age = mesh.last_seen_age(now, node.ip);
             let heartbeat = self.build_heartbeat(last_seen_age, index, report.cloned());
             let datagram = Datagram {
                 node_list_hash: mesh.held_node_list(node.ip),
-                refused: match node.role {
-                    NodeRole::Agent => refused.clone(),
-                    NodeRole::Balancer | NodeRole::Control => Vec::new(),
-                },
                 ..Datagram::from(heartbeat)
             };
             self.send(node.ip, &datagram);
--- a/src/forwarded/link.rs
+++ b/src/forwarded/link.rs
@@ -10,7 +10,6 @@
 use dogwoodrill_core::forwarded::keepers::FlowLocation;
 use dogwoodrill_core::forwarded::mesh::Mesh;
 use dogwoodrill_core::forwarded::node::{NodeAddress, NodeRole, NodeSettings};
-use dogwoodrill_core::forwarded::returning::RefusedAttempt;
 use dogwoodrill_core::forwarded::service_map::ServiceMap;
 use dogwoodrill_core::ids::LogIndex;
 use dogwoodrill_wire::convert::forwarded::Datagram;
@@ -35,8 +34,6 @@
 pub(super) struct FlowUpdates {
     pub(super) locations: Vec<FlowLocation>,
     pub(super) denials: Vec<Denial>,
-    /// Attempts of callers that the sender has refused.
-    pub(super) refused: Vec<RefusedAttempt>,
     /// Number of idle slots that the sender offers.
     pub(super) idle_slots: u32,
 }
@@ -77,11 +74,9 @@
             self.fetcher
                 .on_advertised_index(from, advertised_index, own_index);
         }
-        let refused = datagram.refused.into_iter();
         FlowUpdates {
             locations: datagram.flow_locations,
             denials: datagram.denials,
-            refused: refused.map(|r| r.into_attempt(now)).collect(),
             idle_slots: datagram.idle_slots,
         }
     }
