--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -4,10 +4,11 @@
 //! ([`limiter`]), the one of a cold start ([`crate::ramp`]), and the one reported by the server's health and
 //! load endpoints ([`report`]). The reported limit can be outdated or wrong, so it may only lower the
 //! result. A request over the limit waits in a bounded queue, ordered by priority and then by deadline. A
-//! request that can't run before its deadline is refused at once, with the time at which to retry.
+//! request whose response cannot come before its deadline, by the requests before it and its own latency, is refused at
+//! once, with the time at which to retry: on arrival, or when a more urgent arrival or a slower server makes it so.
 //!
 //! [`Admission`] is driven by arrivals, response heads, completions and time; each of these returns the
-//! queued requests that may run now. A request holds its slot until its response is complete, or until the
+//! queued requests that may run now or are refused. A request holds its slot until its response is complete, or until the
 //! driver finds that the response is a stream that stays open: such a response takes a connection of the
 //! server, but no slot.
 
@@ -91,8 +92,8 @@
 pub enum Event {
     /// The request may run now.
     Run(Ticket),
-    /// The request's deadline has passed.
-    Expired(Ticket),
+    /// The request is refused.
+    Refused(Ticket, Refusal),
 }
 
 /// The request load of an agent.
@@ -189,25 +190,26 @@
         }
     }
 
-    /// Decides whether a request that has arrived runs, waits or is refused.
+    /// Decides whether a request that has arrived runs, waits or is refused. If it waits, [`Self::on_tick`] returns the
+    /// requests that are refused because it goes before them.
     pub fn on_arrival(&mut self, now: Instant, arrival: Arrival) -> Decision {
         if arrival.deadline <= now {
             return Decision::Refused(self.refusal(now, RefusalCause::TooLate));
         }
         let load = self.load(now);
+        let ticket = self.ticket();
+        let key = (arrival.priority, arrival.deadline, ticket);
+        let before = count(self.queue.range(..key).count());
+        if !self.is_answerable(now, load.in_flight + before, arrival.deadline) {
+            return Decision::Refused(self.refusal(now, RefusalCause::TooLate));
+        }
         if load.has_capacity() {
-            let ticket = self.ticket();
             self.run(now, ticket);
             return Decision::Run(ticket);
         }
-        if !arrival.may_wait || load.queued >= self.settings.queue_limit {
+        if !arrival.may_wait || before >= self.settings.queue_limit {
             return Decision::Refused(self.refusal(now, RefusalCause::QueueFull));
         }
-        if now + self.expected_wait(load.queued, load.limit) >= arrival.deadline {
-            return Decision::Refused(self.refusal(now, RefusalCause::TooLate));
-        }
-        let ticket = self.ticket();
-        let key = (arrival.priority, arrival.deadline, ticket);
         self.queue.insert(key);
         self.waiting.insert(ticket, key);
         Decision::Wait(ticket)
@@ -240,14 +242,24 @@
         key.is_some_and(|key| self.queue.remove(&key))
     }
 
-    /// Removes expired requests from the queue and admits queued requests up to the limit.
+    /// Refuses the queued requests whose response can no longer come before their deadline and those that the queue has
+    /// no room for, and admits queued requests up to the limit.
     pub fn on_tick(&mut self, now: Instant) -> Vec<Event> {
+        let mut refused = Vec::new();
+        let (mut ahead, mut kept) = (count(self.running.len()), 0);
+        for (_, deadline, ticket) in &self.queue {
+            if !self.is_answerable(now, ahead, *deadline) {
+                refused.push((*ticket, RefusalCause::TooLate));
+            } else if kept >= self.settings.queue_limit {
+                refused.push((*ticket, RefusalCause::QueueFull));
+            } else {
+                (ahead, kept) = (ahead + 1, kept + 1);
+            }
+        }
         let mut events = Vec::new();
-        let late = |(_, deadline, _): &&QueueKey| *deadline <= now;
-        let expired: Vec<_> = self.queue.iter().filter(late).copied().collect();
-        for (_, _, ticket) in expired {
+        for (ticket, cause) in refused {
             self.on_withdrawn(ticket);
-            events.push(Event::Expired(ticket));
+            events.push(Event::Refused(ticket, self.refusal(now, cause)));
         }
         while count(self.running.len()) < self.limit(now)
             && let Some((_, _, ticket)) = self.queue.pop_first()
@@ -262,12 +274,19 @@
     /// The latest time at which [`Self::on_tick`] must run if no other call does its work before; none
     /// while the queue is empty.
     pub fn next_tick(&self, now: Instant) -> Option<Instant> {
-        let first_deadline = self.queue.iter().map(|(_, deadline, _)| *deadline).min();
+        let in_flight = count(self.running.len());
+        let refused_at = self.queue.iter().zip(in_flight..).map(|(key, ahead)| {
+            let (_, deadline, _) = key;
+            deadline
+                .checked_sub(self.answered_after(now, ahead))
+                .unwrap_or(now)
+        });
+        let first_refusal = refused_at.min();
         let raise = self.ramp.as_ref().and_then(|r| r.next_raise(now));
         let report_ends = self.reported.expires_at(now);
-        let waits = first_deadline.is_some();
+        let waits = first_refusal.is_some();
         let rises = [raise, report_ends].into_iter().flatten().filter(|_| waits);
-        rises.chain(first_deadline).min()
+        rises.chain(first_refusal).min()
     }
 
     fn ticket(&mut self) -> Ticket {
@@ -284,14 +303,26 @@
         self.running.insert(ticket, running);
     }
 
-    /// Estimated time until a request that arrives now would run.
-    fn expected_wait(&self, queued: u32, limit: u32) -> Duration {
-        self.limiter.latency() * queued / limit.max(1)
+    /// Whether the response to a request with `ahead` requests before it can come before `deadline`.
+    fn is_answerable(&self, now: Instant, ahead: u32, deadline: Instant) -> bool {
+        now + self.answered_after(now, ahead) < deadline
+    }
+
+    /// Estimated time until the response to a request that has `ahead` requests before it. None for a request that has the server
+    /// for itself: the latency of earlier ones may be outdated, and only this request shows what it is now.
+    fn answered_after(&self, now: Instant, ahead: u32) -> Duration {
+        if ahead == 0 {
+            return Duration::ZERO;
+        }
+        let limit = self.limit(now);
+        let before = ahead.saturating_add(1).saturating_sub(limit);
+        let latency = self.limiter.latency();
+        (latency.saturating_mul(before) / limit).saturating_add(latency)
     }
 
     fn refusal(&self, now: Instant, cause: RefusalCause) -> Refusal {
         let load = self.load(now);
-        let wait = self.expected_wait(load.queued + load.in_flight, load.limit);
+        let wait = self.limiter.latency() * (load.queued + load.in_flight) / load.limit;
         Refusal {
             cause,
             retry_at: now + wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
--- a/src/agent/dispatch.rs
+++ b/src/agent/dispatch.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
-use dogwoodrill_core::admission::{Arrival, RefusalCause};
+use dogwoodrill_core::admission::Arrival;
 use dogwoodrill_core::handoff::{RequiredCapacity, Scope};
 use http::Method;
 use http::request::Parts;
@@ -99,12 +99,8 @@
             GateDecision::Wait(queued) => self.wait_for_target(queued, head).await,
             GateDecision::NoServer => Err(RequestError::NoServer { retry_at }),
             GateDecision::Refused(refusal) => {
-                let retry_at = Instant::from_std(refusal.retry_at);
                 let accepted = self.offer(head, RequiredCapacity::FreeSlot).await;
-                accepted.ok_or(match refusal.cause {
-                    RefusalCause::QueueFull => RequestError::Busy { retry_at },
-                    RefusalCause::TooLate => RequestError::TooLate,
-                })
+                accepted.ok_or(refusal.into())
             }
         }
     }
@@ -126,7 +122,7 @@
             tokio::select! {
                 outcome = queued.outcome() => return match outcome {
                     QueueOutcome::Run(permit) => Ok(DispatchTarget::Local(permit)),
-                    QueueOutcome::Expired => Err(RequestError::TooLate),
+                    QueueOutcome::Refused(refusal) => Err(refusal.into()),
                 },
                 () = capacity => {}
             }
@@ -153,7 +149,8 @@
 
     async fn run(&self, target: DispatchTarget, req: Request) -> Result<Response, RequestError> {
         if Instant::now() >= self.deadline {
-            return Err(RequestError::TooLate);
+            let retry_at = default_retry_at();
+            return Err(RequestError::TooLate { retry_at });
         }
         let result = async {
             match target {
--- a/src/agent/gate.rs
+++ b/src/agent/gate.rs
@@ -7,7 +7,7 @@
 
 use dogwoodrill_core::admission::report::EndpointReport;
 use dogwoodrill_core::admission::{
-    Admission, AdmissionSettings, Arrival, Decision, Event, Load, Refusal, Ticket,
+    Admission, AdmissionSettings, Arrival, Decision, Event, Load, Refusal, RefusalCause, Ticket,
 };
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep_until};
@@ -66,8 +66,8 @@
 pub enum QueueOutcome {
     /// The request may run now.
     Run(Permit),
-    /// The deadline of the request has passed.
-    Expired,
+    /// The request is refused.
+    Refused(Refusal),
 }
 
 /// Permission to run one request. Dropping it frees the slot.
@@ -101,9 +101,15 @@
 }
 
 impl QueuedRequest {
-    /// Waits until the request may run or has expired.
+    /// Waits until the request may run or is refused.
     pub async fn outcome(&mut self) -> QueueOutcome {
-        (&mut self.outcome).await.unwrap_or(QueueOutcome::Expired)
+        let outcome = (&mut self.outcome).await;
+        outcome.unwrap_or_else(|_| {
+            QueueOutcome::Refused(Refusal {
+                cause: RefusalCause::TooLate,
+                retry_at: now(),
+            })
+        })
     }
 }
 
@@ -158,14 +164,16 @@
         let Some(server) = &mut state.server else {
             return GateDecision::NoServer;
         };
-        match server.admission.on_arrival(now(), arrival) {
+        let now = now();
+        match server.admission.on_arrival(now, arrival) {
             Decision::Run(ticket) => GateDecision::Run(self.permit(ticket)),
             Decision::Refused(refusal) => GateDecision::Refused(refusal),
             Decision::Wait(ticket) => {
                 let (tx, outcome) = oneshot::channel();
                 state.queued_requests.insert(ticket, tx);
                 drop(state);
-                self.notify_load_change();
+                // It may go before others, whose response cannot come in time any more.
+                self.update(|a| a.on_tick(now));
                 GateDecision::Wait(QueuedRequest {
                     gate: self.clone(),
                     ticket,
@@ -211,8 +219,7 @@
         }
     }
 
-    /// Applies `update` to the admission state and resolves the queued requests that may now run or have
-    /// expired.
+    /// Applies `update` to the admission state and resolves the queued requests that may now run or are refused.
     fn update(&self, update: impl FnOnce(&mut Admission) -> Vec<Event>) {
         let mut outcomes = Vec::new();
         let mut state = self.lock();
@@ -220,7 +227,7 @@
             for event in update(&mut server.admission) {
                 let (ticket, outcome) = match event {
                     Event::Run(ticket) => (ticket, QueueOutcome::Run(self.permit(ticket))),
-                    Event::Expired(ticket) => (ticket, QueueOutcome::Expired),
+                    Event::Refused(ticket, refusal) => (ticket, QueueOutcome::Refused(refusal)),
                 };
                 outcomes.push((state.queued_requests.remove(&ticket), outcome));
             }
--- a/src/agent/idempotency.rs
+++ b/src/agent/idempotency.rs
@@ -165,7 +165,9 @@
     {
         let deadline = Deadline::of(&req);
         if deadline < Instant::now() + MIN_CLAIM_TIME {
-            return self.result_of_seal(SealOutcome::NoMajority, RequestError::TooLate);
+            let retry_at = default_retry_at();
+            let cause = RequestError::TooLate { retry_at };
+            return self.result_of_seal(SealOutcome::NoMajority, cause);
         }
         let ready_deadline = Instant::now() + REPLICA_READY_TIMEOUT;
         let claim = self
@@ -181,7 +183,8 @@
         };
         if Instant::now() >= deadline {
             let sealed = self.context.claims.give_up(&self.target, claimed).await;
-            return self.result_of_seal(sealed, RequestError::TooLate);
+            let retry_at = default_retry_at();
+            return self.result_of_seal(sealed, RequestError::TooLate { retry_at });
         }
         let running = claimed.dispatch();
         match inner.oneshot(req).await {
--- a/src/agent/peers/service.rs
+++ b/src/agent/peers/service.rs
@@ -145,12 +145,9 @@
             GateDecision::Run(permit) => permit,
             GateDecision::Wait(mut queued) => match queued.outcome().await {
                 QueueOutcome::Run(permit) => permit,
-                QueueOutcome::Expired => return Err(RequestError::TooLate),
+                QueueOutcome::Refused(refusal) => return Err(refusal.into()),
             },
-            GateDecision::Refused(refusal) => {
-                let retry_at = Instant::from_std(refusal.retry_at);
-                return Err(RequestError::Busy { retry_at });
-            }
+            GateDecision::Refused(refusal) => return Err(refusal.into()),
             GateDecision::NoServer => return Err(RequestError::NoServer { retry_at }),
         };
         self.send(ResponsePart::Accepted(true)).await;
@@ -161,7 +158,7 @@
                 Ok((permit, policy, deadline, req, first_part))
             }
             Ok(_) => Err(invalid_request("the request was withdrawn")),
-            Err(_) => Err(RequestError::TooLate),
+            Err(_) => Err(RequestError::TooLate { retry_at }),
         }
     }
 
--- a/src/agent/request.rs
+++ b/src/agent/request.rs
@@ -1,6 +1,7 @@
 //! Request, response and error types of the service stack.
 
 use bytes::Bytes;
+use dogwoodrill_core::admission::{Refusal, RefusalCause};
 use dogwoodrill_core::claims::key::{Attempt, KeyError};
 use dogwoodrill_core::verdict::{HasVerdict, Verdict};
 use http::{Method, StatusCode};
@@ -27,8 +28,11 @@
         retry_at: Instant,
     },
     /// The deadline passed, or would pass, before the request was sent to the backend server.
-    #[snafu(display("the deadline passed before the request was sent"))]
-    TooLate,
+    #[snafu(display("the response cannot come before the deadline; the request was not sent"))]
+    TooLate {
+        /// Time from which a retry is worthwhile.
+        retry_at: Instant,
+    },
     /// The deadline passed while the backend server was processing the request.
     #[snafu(display("the deadline passed before the backend server answered"))]
     TimedOut,
@@ -148,11 +152,21 @@
     },
 }
 
+impl From<Refusal> for RequestError {
+    fn from(refusal: Refusal) -> Self {
+        let retry_at = Instant::from_std(refusal.retry_at);
+        match refusal.cause {
+            RefusalCause::QueueFull => Self::Busy { retry_at },
+            RefusalCause::TooLate => Self::TooLate { retry_at },
+        }
+    }
+}
+
 impl HasVerdict for RequestError {
     fn verdict(&self) -> Verdict {
         match self {
             Self::NoServer { .. }
-            | Self::TooLate
+            | Self::TooLate { .. }
             | Self::Busy { .. }
             | Self::Draining { .. }
             | Self::Connect { .. }
@@ -183,7 +197,7 @@
     /// Returns the status of the error response.
     pub fn status(&self) -> StatusCode {
         match self {
-            Self::TooLate | Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::TooLate { .. } | Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::NoServer { .. }
             | Self::Busy { .. }
             | Self::Draining { .. }
@@ -208,6 +222,7 @@
     pub fn retry_at(&self) -> Option<Instant> {
         match self {
             Self::NoServer { retry_at }
+            | Self::TooLate { retry_at }
             | Self::Busy { retry_at }
             | Self::Draining { retry_at }
             | Self::InProgress { retry_at }
