Export the waits before refusals as a histogram

Operators could see how long refused openings had waited only in single log lines. `dogwoodrill_forwarded_refusal_wait_seconds` counts each refusal by the time that its opening packet waited at the agent; a peak at one wait shows refusals that are held back. Tested by `the_waits_before_refusals_are_exported`.

--- a/src/forwarded/metrics.rs
+++ b/src/forwarded/metrics.rs
@@ -3,13 +3,17 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use dogwoodrill_core::forwarded::decision::Decision;
+use dogwoodrill_core::forwarded::decision::{Decision, Step};
 use dogwoodrill_core::forwarded::slot_offers::SlotOfferStats;
 use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 /// Upper bounds of the histogram buckets for the time that packets wait in this process, in seconds.
 const TURN_BUCKETS: [f64; 7] = [0.000_1, 0.000_5, 0.001, 0.005, 0.02, 0.1, 0.5];
 
+/// Upper bounds of the histogram buckets for the waits before refusals, in seconds. Callers give up opening a flow after
+/// 1.4 s.
+const REFUSAL_WAIT_BUCKETS: [f64; 9] = [0.001, 0.02, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.4];
+
 /// Counters of the system calls on packet sockets.
 #[derive(Clone, Debug)]
 pub struct SocketCallCounters {
@@ -49,6 +53,7 @@
     pub config_index: IntGauge,
     decisions: IntCounterVec,
     turn_seconds: Histogram,
+    refusal_wait_seconds: Histogram,
     waiting: IntGauge,
     slot_offers: IntCounterVec,
 }
@@ -70,6 +75,11 @@
             "Time to take in what had come, which packets behind it waited.",
         );
         let turn = turn.buckets(TURN_BUCKETS.to_vec());
+        let refusal_wait = HistogramOpts::new(
+            "dogwoodrill_forwarded_refusal_wait_seconds",
+            "Time for which opening packets waited at an agent before they were refused.",
+        );
+        let refusal_wait = refusal_wait.buckets(REFUSAL_WAIT_BUCKETS.to_vec());
         let metrics = Self {
             packets: IntCounterVec::new(packets, &["from"]).expect("constant names are valid"),
             bad_packets: IntCounter::new(
@@ -87,6 +97,8 @@
             decisions: IntCounterVec::new(decisions, &["step", "why"])
                 .expect("constant names are valid"),
             turn_seconds: Histogram::with_opts(turn).expect("a constant name is valid"),
+            refusal_wait_seconds: Histogram::with_opts(refusal_wait)
+                .expect("a constant name is valid"),
             waiting: IntGauge::new(
                 "dogwoodrill_forwarded_waiting",
                 "Opening packets in the admission queue.",
@@ -102,13 +114,14 @@
     /// Registers all metrics. Errors are ignored: a second node in the same process has metrics that are not
     /// exported.
     fn register_all(&self, registry: &Registry) {
-        let all: [Box<dyn prometheus::core::Collector>; 8] = [
+        let all: [Box<dyn prometheus::core::Collector>; 9] = [
             Box::new(self.packets.clone()),
             Box::new(self.bad_packets.clone()),
             Box::new(self.flows.clone()),
             Box::new(self.config_index.clone()),
             Box::new(self.decisions.clone()),
             Box::new(self.turn_seconds.clone()),
+            Box::new(self.refusal_wait_seconds.clone()),
             Box::new(self.waiting.clone()),
             Box::new(self.slot_offers.clone()),
         ];
@@ -117,10 +130,14 @@
         }
     }
 
-    /// Counts decisions by step and reason.
+    /// Counts decisions by step and reason, and records the waits before refusals.
     pub fn count_decisions(&self, decisions: &[Decision]) {
         let mut counts = BTreeMap::new();
         for d in decisions {
+            if d.step == Step::Refused {
+                let waited = d.waited.unwrap_or_default();
+                self.refusal_wait_seconds.observe(waited.as_secs_f64());
+            }
             *counts.entry((d.step, d.reason)).or_insert(0) += 1;
         }
         for ((step, reason), count) in counts {
--- a/tests/testsuite/forwarded.rs
+++ b/tests/testsuite/forwarded.rs
@@ -15,6 +15,7 @@
 mod disks;
 mod explain;
 mod hosts;
+mod metrics;
 mod replacements;
 
 use hosts::*;
