--- a/crates/core/tests/testsuite/forwarded/contention.rs
+++ b/crates/core/tests/testsuite/forwarded/contention.rs
@@ -83,6 +83,8 @@
     pub is_restart: bool,
     /// Speeds of the servers in turn, relative to the nominal one.
     pub speeds: [f64; 4],
+    /// Number of times that a refused caller retries, 1 ms after the refusal.
+    pub retries: u16,
 }
 
 /// 43 servers at 0.7 of their capacity.
@@ -95,6 +97,7 @@
     is_zone_out: false,
     is_restart: false,
     speeds: [1.0; 4],
+    retries: RETRIES,
 };
 
 /// Shares of calls by outcome.
@@ -123,6 +126,8 @@
     pub busiest: f64,
     /// Attempts per call.
     pub attempts: f64,
+    /// Number of violations of invariants.
+    pub violations: u32,
     /// Heartbeats and offers of slots that agents sent per second.
     pub heartbeats: f64,
     pub offers: f64,
@@ -191,7 +196,7 @@
         // As agents announce their load at this number of nodes.
         let nodes = self.servers + self.balancers + CONTROL_HOSTS;
         simulation.load_report_interval = 2 * MS * u32::try_from(nodes).unwrap();
-        simulation.retries = RETRIES.into();
+        simulation.retries = self.retries.into();
         simulation.retry_delay = MS;
         for (server, speed) in simulation
             .servers
@@ -222,6 +227,7 @@
         let worked: Vec<_> = worked.map(|(s, before)| s.worked - before).collect();
         Replayed {
             busiest: busiest(&worked),
+            violations: simulation.violations.values().sum(),
             heartbeats: (simulation.agent_heartbeats - heartbeats) as f64 / seconds,
             offers: (simulation.slot_offers - offers) as f64 / seconds,
             ..score(&simulation, start, &calls)
--- a/crates/core/tests/testsuite/forwarded/even_load.rs
+++ b/crates/core/tests/testsuite/forwarded/even_load.rs
@@ -66,6 +66,31 @@
     assert!(replayed.told_within(0.5) <= 250 * MS, "{replayed}");
 }
 
+/// Callers that are refused at once return at once. Guards against returns that take capacity from others: after a loss of
+/// power and under sustained overload, the callers of each kind must get as many answers as if nobody returned, and no rule on
+/// flows may be broken. A return costs a packet and a decision; there are at most two for each call.
+#[rstest]
+#[case::restart(Scenario { is_restart: true, ..USUAL })]
+#[case::overload(USUAL.scaled(1.8))]
+fn callers_that_return_at_once_harm_nobody(#[case] scenario: Scenario) {
+    let seed = 1;
+    let returning = scenario.replay(seed);
+    let scenario = Scenario {
+        retries: 0,
+        ..scenario
+    };
+    let not_returning = scenario.replay(seed);
+    for (with, without) in [
+        (returning.lookups, not_returning.lookups),
+        (returning.entries, not_returning.entries),
+    ] {
+        let is_harmless = with.failed <= without.failed + 0.01;
+        assert!(is_harmless, "{returning}; without returns {not_returning}");
+    }
+    assert!(returning.attempts > 1.1, "few return: {returning}");
+    assert_eq!((returning.violations, not_returning.violations), (0, 0));
+}
+
 /// Guards against offers of idle slots that become another stream of reports. Each slot, and the one that an opening
 /// can be on its way to, is offered once in half of a service time of 30 ms at most, and only where a report shows that
 /// an opening waits.
