Decide on the queue once for each change; free the places of callers that gave up at each event

Cause: the agent sorted its queue three to four times for every packet of the server, up to some 200 openings; under overload that took more than the host's 0.15 cores, and everything behind it came late. Places of callers that had given up were freed at the next tick of 20 ms only.

Change: one review of the queue gives what is late, what cannot be answered and who is first; packets of the server that change neither the load, the service time nor the queue cause none, and what only time changes is left to the tick. Deadlines of requests that do not come are looked at with each decision.

Why the decisions on change lose the difference is not traced.

--- a/crates/core/examples/contention_replay.rs
+++ b/crates/core/examples/contention_replay.rs
@@ -16,7 +16,7 @@
 
 fn main() {
     println!(
-        "{:<24}  bound  answered  worst  told 50%, 90%  lookups in time, late, failed  entries in time  median  busiest  attempts  reports/s  offers/s",
+        "{:<24}  bound  answered  worst  told 50%, 90%  lookups in time, late, failed  entries in time  median  busiest  attempts  reports/s  offers/s  violations",
         ""
     );
     let zone_out = Scenario {
@@ -58,7 +58,7 @@
             replayed.iter().map(value).sum::<f64>() / f64::from(SEEDS)
         };
         println!(
-            "{name:<24}  {:.3}  {:>8.3}  {:.3}  {:>8.0} {:>4.0}  {:>10.3} {:.3} {:.3}  {:>18.3}  {:>11.0}  {:>7.2}  {:>8.2}  {:>9.0}  {:>8.0}",
+            "{name:<24}  {:.3}  {:>8.3}  {:.3}  {:>8.0} {:>4.0}  {:>10.3} {:.3} {:.3}  {:>18.3}  {:>11.0}  {:>7.2}  {:>8.2}  {:>9.0}  {:>8.0}  {:>10}",
             scenario.bound(),
             mean(&|r| r.answered),
             mean(&|r| r.worst_window),
@@ -73,6 +73,7 @@
             mean(&|r| r.attempts),
             mean(&|r| r.heartbeats),
             mean(&|r| r.offers),
+            replayed.iter().map(|r| r.violations).sum::<u32>(),
         );
     }
 }
--- a/crates/core/src/forwarded/agent.rs
+++ b/crates/core/src/forwarded/agent.rs
@@ -69,6 +69,9 @@
 /// opening flow is attributed to this server; other sequence numbers belong to other servers.
 const ACK_WINDOW: u32 = 1 << 20;
 
+/// Number of requests at the server, its service time, and number of openings that wait.
+type QueueState = (u32, Duration, usize);
+
 #[derive(Clone, Copy, Debug)]
 struct Redirect {
     to: Ipv4Addr,
@@ -101,6 +104,8 @@
     flow_demand: FlowDemand,
     outlier: OutlierDetector,
     queue: AdmissionQueue,
+    /// The state at the last decision on the queue.
+    settled: Option<QueueState>,
     offers: SlotOffers,
     /// Redirections of recent opening packets.
     redirects: HashMap<FlowKey, Redirect>,
@@ -159,6 +164,7 @@
             flow_demand: FlowDemand::default(),
             outlier: OutlierDetector::default(),
             queue: AdmissionQueue::default(),
+            settled: None,
             offers: SlotOffers::default(),
             redirects: HashMap::new(),
             directory: FlowDirectory::default(),
--- a/crates/core/src/forwarded/agent/explain.rs
+++ b/crates/core/src/forwarded/agent/explain.rs
@@ -171,6 +171,7 @@
             flow_demand: self.flow_demand,
             outlier: self.outlier.clone(),
             queue: self.queue.clone(),
+            settled: self.settled,
             offers: self.offers.clone(),
             redirects: redirect.into_iter().collect(),
             directory: FlowDirectory::default(),
--- a/crates/core/src/forwarded/agent/openings.rs
+++ b/crates/core/src/forwarded/agent/openings.rs
@@ -6,7 +6,7 @@
 
 use rand::Rng;
 
-use super::{Action, Agent, Disposition, Flow, OPENING_TTL, Redirect, RequestState};
+use super::{Action, Agent, Disposition, Flow, OPENING_TTL, QueueState, Redirect, RequestState};
 use crate::forwarded::decision::{Decision, Reason, Step};
 use crate::forwarded::gate::{self, Capacity};
 use crate::forwarded::mesh::Mesh;
@@ -193,9 +193,10 @@
     /// Queues an opening packet, and decides anew on all that wait.
     fn enqueue(&mut self, now: Instant, from: Ipv4Addr, opening: QueuedOpening) -> Disposition {
         let (key, hops) = (opening.header.caller_flow(), opening.header.trail.hops);
+        self.expire_request_deadlines(now);
         self.queue.push(opening);
-        self.settle(now, from);
-        self.deliver_queued(now);
+        let first = self.settle(now, from);
+        self.deliver_queued(now, first);
         if self.queue.contains(key) {
             self.record_decision(Decision {
                 busy: Some(self.total_requests()),
@@ -207,24 +208,42 @@
     }
 
     /// Redirects the queued packets that cannot be served in time here to a peer that is expected to do so, and refuses
-    /// those whose response can no longer come within the time that their callers have.
-    fn settle(&mut self, now: Instant, from: Ipv4Addr) {
-        let load = self.server_load(now);
-        for w in self.queue.take_late(load) {
+    /// those whose response can no longer come within the time that their callers have. Returns the first of the others.
+    fn settle(&mut self, now: Instant, from: Ipv4Addr) -> Option<FlowKey> {
+        for w in self.queue.trim(self.server_load(now)) {
+            self.refuse_queued(now, &w, Reason::Busy);
+        }
+        let mut review = self.queue.review(self.server_load(now));
+        let mut is_shorter = false;
+        for w in std::mem::take(&mut review.late) {
+            let Some(w) = self.queue.remove(w) else {
+                continue;
+            };
             let left = w.time_to_target(now);
-            if let Some(w) = self.redirect_late(now, from, w, left) {
-                self.queue.push_late(w);
+            match self.redirect_late(now, from, w, left) {
+                Some(w) => self.queue.push_late(w),
+                None => is_shorter = true,
             }
         }
-        for w in self.queue.take_unanswerable(load) {
+        if is_shorter {
+            review = self.queue.review(self.server_load(now));
+        }
+        for w in review.unanswerable {
+            let Some(w) = self.queue.remove(w) else {
+                continue;
+            };
             let left = w.time_to_answer(now);
             if let Some(w) = self.redirect_late(now, from, w, left) {
                 self.refuse_queued(now, &w, Reason::Busy);
             }
         }
-        for w in self.queue.trim(load) {
-            self.refuse_queued(now, &w, Reason::Busy);
-        }
+        review.first
+    }
+
+    /// What the decisions on queued packets follow from, time aside.
+    fn queue_state(&self, now: Instant) -> QueueState {
+        let waiting = self.queue.len();
+        (self.busy, self.known_work(now), waiting)
     }
 
     /// Redirects a packet to a peer that is expected to complete it within `left`; returns it if there is none. The peer's
@@ -269,16 +288,27 @@
         if self.queue.is_empty() {
             return;
         }
+        self.expire_request_deadlines(now);
         self.redirect_rejected(now);
-        self.settle(now, self.mesh.own().ip);
-        self.deliver_queued(now);
+        let first = self.settle(now, self.mesh.own().ip);
+        self.deliver_queued(now, first);
     }
 
-    fn deliver_queued(&mut self, now: Instant) {
-        if self.queue.is_empty() || gate::is_full(self.busy, self.slots()) {
-            return;
+    /// Does the same if anything has changed since the last decision. What only time changes is left to the next tick.
+    pub(super) fn admit_on_change(&mut self, now: Instant) {
+        self.expire_request_deadlines(now);
+        if self.settled != Some(self.queue_state(now)) {
+            self.admit(now);
         }
-        while let Some(key) = self.queue.next(self.server_load(now)) {
+    }
+
+    fn deliver_queued(&mut self, now: Instant, first: Option<FlowKey>) {
+        self.deliver_while_capacity(now, first);
+        self.settled = Some(self.queue_state(now));
+    }
+
+    fn deliver_while_capacity(&mut self, now: Instant, mut first: Option<FlowKey>) {
+        while let Some(key) = first {
             let next = self.queue.get(key).filter(|w| self.has_capacity(now, w));
             if next.is_none() {
                 return;
@@ -287,6 +317,10 @@
                 self.accept(now, &w.header.with_age(w.age(now)), &w.packet);
                 self.actions.push(Action::Deliver(w.packet));
             }
+            if gate::is_full(self.busy, self.slots()) {
+                return;
+            }
+            first = self.queue.next(self.server_load(now));
         }
     }
 
--- a/crates/core/src/forwarded/agent/server_packets.rs
+++ b/crates/core/src/forwarded/agent/server_packets.rs
@@ -53,7 +53,7 @@
         if header.flags.is_ending() {
             self.end(now, key);
         }
-        self.admit(now);
+        self.admit_on_change(now);
         if has_completed {
             self.offer_idle_slots(now);
         }
--- a/crates/core/src/forwarded/waiting.rs
+++ b/crates/core/src/forwarded/waiting.rs
@@ -137,6 +137,17 @@
 /// A queued packet with its flow.
 type Queued<'a> = (FlowKey, &'a QueuedOpening);
 
+/// What to do with the queued packets.
+#[derive(Clone, Debug, Default)]
+pub struct Review {
+    /// Packets whose response will not meet the target latency here, and for which no peer was looked for yet.
+    pub late: Vec<FlowKey>,
+    /// Packets whose response can no longer come within the time that the caller has.
+    pub unanswerable: Vec<FlowKey>,
+    /// The first packet whose response can come.
+    pub first: Option<FlowKey>,
+}
+
 impl QueuedOpening {
     /// Creates the entry of a packet that arrives at `now`. `since` is when the caller sent its first copy.
     pub fn new(
@@ -250,6 +261,22 @@
         });
     }
 
+    /// Returns what to do with the queued packets now.
+    pub fn review(&self, load: ServerLoad) -> Review {
+        let mut review = Review::default();
+        for p in self.places(load) {
+            if !p.is_answerable {
+                review.unanswerable.push(p.flow);
+                continue;
+            }
+            review.first = review.first.or(Some(p.flow));
+            if !p.meets_target && !self.queued[&p.flow].is_known_late {
+                review.late.push(p.flow);
+            }
+        }
+        review
+    }
+
     /// Removes and returns the packets whose response will not meet the target latency here, each once.
     pub fn take_late(&mut self, load: ServerLoad) -> Vec<QueuedOpening> {
         if self.queued.values().all(|w| w.is_known_late) {
--- a/crates/core/tests/testsuite/forwarded/load.rs
+++ b/crates/core/tests/testsuite/forwarded/load.rs
@@ -301,7 +301,7 @@
     assert_snapshot!(format!(
         "in time {}, late {}, refused {}; {} offered to a server; busiest server {} of the mean",
         share(s.in_time), share(s.late), share(s.refused), share(s.offers), share(s.busiest)
-    ), @"in time 53.8%, late 46.2%, refused 0.0%; 100.0% offered to a server; busiest server 101.0% of the mean");
+    ), @"in time 53.8%, late 46.2%, refused 0.0%; 100.0% offered to a server; busiest server 100.5% of the mean");
 }
 
 /// Guards against calls that starve once they are late, because later ones can still meet the target. The work beyond the
