Prefer warm servers in the comparison that choice and explanation share

`dogwoodrill explain` gave cold and warm servers of equal load the same probability, though the choice preferred the warm one. Cause: removed the factor for cold servers from the expected load, which both use, and added the preference to the choice alone. It is now part of `ExpectedLoad::is_earlier_than`. The choice is the same as before. The new case of `probabilities_are_those_of_the_choice` failed before.

--- a/crates/core/src/forwarded/placement.rs
+++ b/crates/core/src/forwarded/placement.rs
@@ -105,6 +105,7 @@
             work: work_time::or_unit(report.work),
             busy: self.busy(received).saturating_add(flows),
             slots: report.slots,
+            is_cold: report.is_cold,
             flow_requests,
         }
     }
@@ -123,16 +124,10 @@
     /// Returns the drawn candidate with the earliest completion; of equal ones, the first.
     fn earliest_completion<'a>(&self, drawn: Vec<Candidate<'a>>) -> Option<Candidate<'a>> {
         drawn.into_iter().reduce(|best, next| {
-            let (load, best_load) = (self.expected(next.received), self.expected(best.received));
-            // A server that has just started is slow, even if none of the service is measured.
-            let is_warmer = best.received.report.is_cold && !next.received.report.is_cold;
-            let is_as_early = is_warmer && !best_load.is_earlier_than(&load);
-            let is_earlier = load.is_earlier_than(&best_load);
-            if is_earlier || is_as_early {
-                next
-            } else {
-                best
-            }
+            let is_earlier = self
+                .expected(next.received)
+                .is_earlier_than(&self.expected(best.received));
+            if is_earlier { next } else { best }
         })
     }
 }
@@ -145,6 +140,8 @@
     slots: u32,
     /// Requests a second on the server's open flows; 0 if not measured.
     flow_requests: f64,
+    /// Whether the server has just started.
+    is_cold: bool,
 }
 
 impl ExpectedLoad {
@@ -168,7 +165,8 @@
             };
             load.completion(work)
         };
-        completion(self) < completion(other)
+        // Of equal ones, a server that has just started is the slower one, even if none of the service is measured.
+        (completion(self), self.is_cold) < (completion(other), other.is_cold)
     }
 }
 
--- a/crates/core/tests/testsuite/forwarded/explain.rs
+++ b/crates/core/tests/testsuite/forwarded/explain.rs
@@ -219,11 +219,19 @@
     }
 }
 
+fn cold(report: ServerReport) -> ServerReport {
+    ServerReport {
+        is_cold: true,
+        ..report
+    }
+}
+
 /// Guards against probabilities that differ from what the random choice does: equal candidates, of which the order of
-/// the draw chooses, suspended ones, and other zones.
+/// the draw chooses, those that have just started, suspended ones, and other zones.
 #[rstest]
 #[case::one(vec![report(0, "north")])]
 #[case::equal(vec![report(3, "south"); 5])]
+#[case::cold(vec![cold(report(2, "south")), report(2, "south"), report(2, "south")])]
 #[case::unequal(vec![report(3, "south"), report(5, "south"), report(2, "south"), report(2, "south")])]
 #[case::zones(vec![report(0, "south"), report(1, "north"), report(4, "north"), report(9, "north"), report(0, "south")])]
 #[case::probes(vec![suspended(report(0, "south")), report(1, "north"), report(2, "south"), suspended(report(0, "north"))])]
