Read the concurrency limit once for each pass over the queue, and a cluster's number in one place

`Admission` worked out its limit anew for each queued request, and checked for a passed deadline twice on arrival. Messages of control hosts stand for "no cluster" by 0, which three places decoded on their own. Behaviour is the same.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -193,14 +193,12 @@
     /// Decides whether a request that has arrived runs, waits or is refused. If it waits, [`Self::on_tick`] returns the
     /// requests that are refused because it goes before them.
     pub fn on_arrival(&mut self, now: Instant, arrival: Arrival) -> Decision {
-        if arrival.deadline <= now {
-            return Decision::Refused(self.refusal(now, RefusalCause::TooLate));
-        }
         let load = self.load(now);
         let ticket = self.ticket();
         let key = (arrival.priority, arrival.deadline, ticket);
         let before = count(self.queue.range(..key).count());
-        if !self.is_answerable(now, load.in_flight + before, arrival.deadline) {
+        let answered_after = self.answered_after(load.limit, load.in_flight + before);
+        if now + answered_after >= arrival.deadline {
             return Decision::Refused(self.refusal(now, RefusalCause::TooLate));
         }
         if load.has_capacity() {
@@ -246,9 +244,10 @@
     /// no room for, and admits queued requests up to the limit.
     pub fn on_tick(&mut self, now: Instant) -> Vec<Event> {
         let mut refused = Vec::new();
+        let limit = self.limit(now);
         let (mut ahead, mut kept) = (count(self.running.len()), 0);
         for (_, deadline, ticket) in &self.queue {
-            if !self.is_answerable(now, ahead, *deadline) {
+            if now + self.answered_after(limit, ahead) >= *deadline {
                 refused.push((*ticket, RefusalCause::TooLate));
             } else if kept >= self.settings.queue_limit {
                 refused.push((*ticket, RefusalCause::QueueFull));
@@ -274,11 +273,12 @@
     /// The latest time at which [`Self::on_tick`] must run if no other call does its work before; none
     /// while the queue is empty.
     pub fn next_tick(&self, now: Instant) -> Option<Instant> {
+        let limit = self.limit(now);
         let in_flight = count(self.running.len());
         let refused_at = self.queue.iter().zip(in_flight..).map(|(key, ahead)| {
             let (_, deadline, _) = key;
             deadline
-                .checked_sub(self.answered_after(now, ahead))
+                .checked_sub(self.answered_after(limit, ahead))
                 .unwrap_or(now)
         });
         let first_refusal = refused_at.min();
@@ -303,18 +303,13 @@
         self.running.insert(ticket, running);
     }
 
-    /// Whether the response to a request with `ahead` requests before it can come before `deadline`.
-    fn is_answerable(&self, now: Instant, ahead: u32, deadline: Instant) -> bool {
-        now + self.answered_after(now, ahead) < deadline
-    }
-
-    /// Estimated time until the response to a request that has `ahead` requests before it. None for a request that has the server
-    /// for itself: the latency of earlier ones may be outdated, and only this request shows what it is now.
-    fn answered_after(&self, now: Instant, ahead: u32) -> Duration {
+    /// Estimated time until the response to a request that has `ahead` requests before it, of which `limit` run
+    /// concurrently. Zero for a request that has the server for itself: the latency of earlier ones may be outdated, and
+    /// only this request shows what it is now.
+    fn answered_after(&self, limit: u32, ahead: u32) -> Duration {
         if ahead == 0 {
             return Duration::ZERO;
         }
-        let limit = self.limit(now);
         let before = ahead.saturating_add(1).saturating_sub(limit);
         let latency = self.limiter.latency();
         (latency.saturating_mul(before) / limit).saturating_add(latency)
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -82,7 +82,7 @@
         let member = Member::try_from(member).map_err(malformed)?;
         let replaces = request.replaces_node;
         let replaces = (replaces != 0).then(|| replaces.into());
-        let cluster = (request.cluster != 0).then(|| ClusterId::new(request.cluster));
+        let cluster = cluster_id(request.cluster);
         let joined = self.handle.join(member, cluster, replaces).await;
         let answer = match joined.map_err(unavailable)? {
             Ok(()) => Answer::TakenIn(true),
@@ -99,7 +99,7 @@
     ) -> Result<Response<wire::LeaveResponse>, Status> {
         transport::require_role(&request, Role::Control)?;
         let request = request.into_inner();
-        let cluster = (request.cluster != 0).then(|| ClusterId::new(request.cluster));
+        let cluster = cluster_id(request.cluster);
         let left = self.handle.leave(request.member.into(), cluster).await;
         let answer = match left.map_err(unavailable)? {
             Ok(handover) => LeaveAnswer::Handover(wire::Handover::from(handover).into()),
@@ -110,3 +110,8 @@
         }))
     }
 }
+
+/// Reads the number of a cluster in a message; 0 stands for none.
+pub(super) fn cluster_id(number: u64) -> Option<ClusterId> {
+    (number != 0).then(|| ClusterId::new(number))
+}
--- a/src/control/place.rs
+++ b/src/control/place.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use dogwoodrill_consensus::store::file::{ClusterId, Identity};
+use dogwoodrill_consensus::store::file::Identity;
 use dogwoodrill_consensus::{Member, MemberId, MemberRole, Membership};
 use dogwoodrill_core::control_status::ControlHost;
 use dogwoodrill_core::ids::NodeId;
@@ -21,6 +21,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::handle::{Handle, Input};
+use super::members::cluster_id;
 use crate::context::Cx;
 use crate::transport;
 
@@ -221,7 +222,7 @@
             identity: Identity {
                 node: response.node.into(),
                 host: response.host.into(),
-                cluster: (response.cluster != 0).then(|| ClusterId::new(response.cluster)),
+                cluster: cluster_id(response.cluster),
             },
             membership: response.membership?.try_into().ok()?,
         })
