Separate what a caller needs from the queued packet, drop what only tests used

- Every opening was copied into a queue entry, also those that a server takes at once.
`OpeningTerms` holds the times that decide; only a packet that waits is copied.
The load of the server is read once for each opening.
- `take_late` and `take_unanswerable` repeated `review` and were called by tests alone; the tests use `review` now, with the same assertions.
`hops` was a twin of `get`.
- Packets that leave the queue for a peer are sent by one function, with the age from one place.
- A packet of the server expired the requests' deadlines twice.

--- a/crates/core/src/forwarded.rs
+++ b/crates/core/src/forwarded.rs
@@ -14,9 +14,8 @@
 //! finds its holder or proves that there is none. [`mesh`] holds a node's view of the other nodes, which it learns
 //! from their [`report`]s and from the lists of control hosts ([`node_list`]); [`work_time`] the service time of a
 //! server, [`flow_demand`] the requests that its open flows bring, and [`capacity_shares`] what requests of each
-//! priority take of it. Openings wait at an agent as long as their
-//! response can come in time ([`waiting`]), and agents with an idle server take those of others ([`slot_offers`]).
-//! [`explain`] tells where a new flow would go now.
+//! priority take of it. Openings wait at an agent as long as their response can come in time ([`waiting`]), and agents
+//! with an idle server take those of others ([`slot_offers`]). [`explain`] tells where a new flow would go now.
 //! [`service_map`] holds the configuration in force, and [`packet`] the packet header that the decisions use.
 
 pub mod agent;
--- a/crates/core/src/forwarded/agent/openings.rs
+++ b/crates/core/src/forwarded/agent/openings.rs
@@ -14,7 +14,7 @@
 use crate::forwarded::placement::{self, Candidate, LoadEstimator, ProbePolicy};
 use crate::forwarded::report::ReceivedReport;
 use crate::forwarded::service_map::{ServiceLabel, ServiceMap};
-use crate::forwarded::waiting::{QueuedOpening, ServerLoad};
+use crate::forwarded::waiting::{OpeningTerms, QueuedOpening, ServerLoad};
 
 /// Most redirections of an opening packet between agents.
 pub(super) const MAX_HOPS: u8 = 3;
@@ -105,8 +105,10 @@
         };
         let header = &header.with_age(header.age());
         let since = now.checked_sub(header.age()).unwrap_or(now);
-        let opening = QueuedOpening::new(now, since, header, packet, policy);
-        let is_answerable = self.is_answerable(now, &opening);
+        let terms = OpeningTerms::new(since, policy);
+        let load = self.server_load(now);
+        let ahead = self.queue.ahead_at_server(load, &terms);
+        let is_answerable = self.queue.is_answerable(load, &terms, ahead);
         if is_answerable && self.queue.is_empty() && self.busy < self.slots() {
             return self.accept(now, header, packet);
         }
@@ -114,23 +116,14 @@
         if can_redirect && let Some(to) = self.choose_peer(now, from, key, faster) {
             return self.redirect_to(now, to, header, Reason::Busy);
         }
-        let load = self.server_load(now);
-        let ahead = self.queue.ahead_at_server(load, &opening);
-        let meets_target = self.queue.meets_target(load, &opening, ahead);
-        if meets_target && self.queue.is_empty() && self.has_capacity(now, &opening) {
+        let meets_target = self.queue.meets_target(load, &terms, ahead);
+        if meets_target && self.queue.is_empty() && self.has_capacity(now, &terms) {
             return self.accept(now, header, packet);
         }
         if can_redirect && let Some(to) = self.take_slot_offer(now, from, key) {
             return self.redirect_to(now, to, header, Reason::SlotOffered);
         }
-        self.enqueue(now, from, opening)
-    }
-
-    /// Whether the response to a request that is delivered to the server now can come within its caller's time.
-    fn is_answerable(&self, now: Instant, opening: &QueuedOpening) -> bool {
-        let load = self.server_load(now);
-        let ahead = self.queue.ahead_at_server(load, opening);
-        self.queue.is_answerable(load, opening, ahead)
+        self.enqueue(now, from, QueuedOpening::new(now, header, packet, terms))
     }
 
     /// Whether the server is suspended and no probe is due.
@@ -168,13 +161,13 @@
 
     /// Whether the server can take another opening packet. A server that is not measured yet may be far slower than its
     /// measured peers, so nothing queues there.
-    fn has_capacity(&self, now: Instant, opening: &QueuedOpening) -> bool {
+    fn has_capacity(&self, now: Instant, terms: &OpeningTerms) -> bool {
         let is_new = self.work.measured().is_none();
         let has_measured_peers = self.work.expected(self.server.is_cold(now)).is_some();
         if is_new && has_measured_peers && self.busy >= self.slots() {
             return false;
         }
-        let left = opening.time_to_target(now);
+        let left = terms.time_to_target(now);
         let left = left.saturating_sub(self.queue.overhead());
         let capacity = gate::capacity(self.known_work(now), self.busy, self.slots(), left);
         capacity == Capacity::Available
@@ -219,7 +212,7 @@
             let Some(w) = self.queue.remove(w) else {
                 continue;
             };
-            let left = w.time_to_target(now);
+            let left = w.terms.time_to_target(now);
             match self.redirect_late(now, from, w, left) {
                 Some(w) => self.queue.push_late(w),
                 None => is_shorter = true,
@@ -232,7 +225,7 @@
             let Some(w) = self.queue.remove(w) else {
                 continue;
             };
-            let left = w.time_to_answer(now);
+            let left = w.terms.time_to_answer(now);
             if let Some(w) = self.redirect_late(now, from, w, left) {
                 self.refuse_queued(now, &w, Reason::Busy);
             }
@@ -275,8 +268,12 @@
         w: &QueuedOpening,
         why: Reason,
     ) {
-        let header = w.header.with_age(w.age(now));
-        let disposition = self.redirect_to(now, to, &header, why);
+        let disposition = self.redirect_to(now, to, &w.header_with_age(now), why);
+        self.send_queued(w, disposition);
+    }
+
+    /// Sends a packet that was taken from the queue where the decision on it says.
+    fn send_queued(&mut self, w: &QueuedOpening, disposition: Disposition) {
         if let Disposition::Forward { to, trail } = disposition {
             let packet = w.packet.clone();
             self.actions.push(Action::Forward { to, trail, packet });
@@ -289,19 +286,23 @@
             return;
         }
         self.expire_request_deadlines(now);
-        self.redirect_rejected(now);
-        let first = self.settle(now, self.mesh.own().ip);
-        self.deliver_queued(now, first);
+        self.decide_on_queue(now);
     }
 
     /// Does the same if anything has changed since the last decision. What only time changes is left to the next tick.
     pub(super) fn admit_on_change(&mut self, now: Instant) {
         self.expire_request_deadlines(now);
-        if self.settled != Some(self.queue_state(now)) {
-            self.admit(now);
+        if !self.queue.is_empty() && self.settled != Some(self.queue_state(now)) {
+            self.decide_on_queue(now);
         }
     }
 
+    fn decide_on_queue(&mut self, now: Instant) {
+        self.redirect_rejected(now);
+        let first = self.settle(now, self.mesh.own().ip);
+        self.deliver_queued(now, first);
+    }
+
     fn deliver_queued(&mut self, now: Instant, first: Option<FlowKey>) {
         self.deliver_while_capacity(now, first);
         self.settled = Some(self.queue_state(now));
@@ -309,12 +310,13 @@
 
     fn deliver_while_capacity(&mut self, now: Instant, mut first: Option<FlowKey>) {
         while let Some(key) = first {
-            let next = self.queue.get(key).filter(|w| self.has_capacity(now, w));
+            let next = self.queue.get(key);
+            let next = next.filter(|w| self.has_capacity(now, &w.terms));
             if next.is_none() {
                 return;
             }
             if let Some(w) = self.queue.remove(key) {
-                self.accept(now, &w.header.with_age(w.age(now)), &w.packet);
+                self.accept(now, &w.header_with_age(now), &w.packet);
                 self.actions.push(Action::Deliver(w.packet));
             }
             if gate::is_full(self.busy, self.slots()) {
@@ -338,12 +340,8 @@
             let Some(w) = self.queue.remove(key) else {
                 continue;
             };
-            let header = w.header.with_age(w.age(now));
-            let disposition = self.redirect_or_refuse(now, own, &header, reason);
-            if let Disposition::Forward { to, trail } = disposition {
-                let packet = w.packet;
-                self.actions.push(Action::Forward { to, trail, packet });
-            }
+            let disposition = self.redirect_or_refuse(now, own, &w.header_with_age(now), reason);
+            self.send_queued(&w, disposition);
         }
     }
 
--- a/crates/core/src/forwarded/agent/slots.rs
+++ b/crates/core/src/forwarded/agent/slots.rs
@@ -85,7 +85,7 @@
     /// Whether the opening packet of a flow may be redirected to the agent at `ip`, by its last report.
     fn may_redirect_to(&self, now: Instant, ip: Ipv4Addr, key: FlowKey) -> bool {
         let report = self.mesh.get(ip).and_then(|peer| peer.report.as_ref());
-        let hops = self.queue.hops(key).unwrap_or_default();
+        let hops = self.queue.get(key).map_or(0, |w| w.header.trail.hops);
         hops < MAX_HOPS
             && self.mesh.is_live(now, ip)
             && !self.mesh.is_losing_openings(now, ip)
--- a/crates/core/src/forwarded/waiting.rs
+++ b/crates/core/src/forwarded/waiting.rs
@@ -31,22 +31,29 @@
 /// Most opening packets queued at one agent; bounds memory and the time that a decision takes.
 const MAX_QUEUE_LEN: usize = 256;
 
-/// An opening packet in the admission queue.
-#[derive(Clone, Debug)]
-pub struct QueuedOpening {
-    /// Header of the packet.
-    pub header: Header,
-    /// The whole packet.
-    pub packet: Bytes,
+/// What the caller of an opening packet needs.
+#[derive(Clone, Copy, Debug)]
+pub struct OpeningTerms {
     priority: u32,
     since: Instant,
-    queued_at: Instant,
     /// Until when a response meets the target latency.
     target_at: Instant,
     /// Until when the caller waits for the response.
     answer_by: Instant,
     /// Until when the caller waits for the server to accept the flow.
     open_by: Instant,
+}
+
+/// An opening packet in the admission queue.
+#[derive(Clone, Debug)]
+pub struct QueuedOpening {
+    /// Header of the packet.
+    pub header: Header,
+    /// The whole packet.
+    pub packet: Bytes,
+    /// What its caller needs.
+    pub terms: OpeningTerms,
+    queued_at: Instant,
     /// Whether a peer that meets the target latency was looked for already.
     is_known_late: bool,
 }
@@ -108,9 +115,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Ahead {
     /// Number of requests at the server or before the packet in the queue.
-    pub requests: usize,
+    requests: usize,
     /// Share of the capacity that more urgent requests take, which go before the packet when they arrive.
-    pub urgent_share: f64,
+    urgent_share: f64,
 }
 
 impl Ahead {
@@ -134,8 +141,8 @@
     is_answerable: bool,
 }
 
-/// A queued packet with its flow.
-type Queued<'a> = (FlowKey, &'a QueuedOpening);
+/// A queued packet's flow and terms.
+type Queued<'a> = (FlowKey, &'a OpeningTerms);
 
 /// What to do with the queued packets.
 #[derive(Clone, Debug, Default)]
@@ -148,33 +155,18 @@
     pub first: Option<FlowKey>,
 }
 
-impl QueuedOpening {
-    /// Creates the entry of a packet that arrives at `now`. `since` is when the caller sent its first copy.
-    pub fn new(
-        now: Instant,
-        since: Instant,
-        header: &Header,
-        packet: &[u8],
-        policy: RequestPolicy,
-    ) -> Self {
+impl OpeningTerms {
+    /// Returns the terms of a caller that sent its first packet at `since`.
+    pub fn new(since: Instant, policy: RequestPolicy) -> Self {
         Self {
-            header: *header,
-            packet: Bytes::copy_from_slice(packet),
             priority: policy.priority,
             since,
-            queued_at: now,
             target_at: since + policy.target,
             answer_by: since + policy.timeout,
             open_by: since + CALLER_OPENING_TIMEOUT,
-            is_known_late: false,
         }
     }
 
-    /// Time for which the packet has waited in the queue.
-    pub fn waited(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.queued_at)
-    }
-
     /// Time since the caller's first packet.
     pub fn age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.since)
@@ -193,6 +185,29 @@
     }
 }
 
+impl QueuedOpening {
+    /// Creates the entry of a packet that arrives at `now`.
+    pub fn new(now: Instant, header: &Header, packet: &[u8], terms: OpeningTerms) -> Self {
+        Self {
+            header: *header,
+            packet: Bytes::copy_from_slice(packet),
+            terms,
+            queued_at: now,
+            is_known_late: false,
+        }
+    }
+
+    /// Time for which the packet has waited in the queue.
+    pub fn waited(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.queued_at)
+    }
+
+    /// Returns the header with the caller's age, which the packet's next agent needs.
+    pub fn header_with_age(&self, now: Instant) -> Header {
+        self.header.with_age(self.terms.age(now))
+    }
+}
+
 impl AdmissionQueue {
     /// Response time beyond the service time, as measured; zero until then.
     pub fn overhead(&self) -> Duration {
@@ -243,11 +258,6 @@
         self.queued.get(&flow)
     }
 
-    /// Returns how often the queued packet of `flow` was forwarded between agents.
-    pub fn hops(&self, flow: FlowKey) -> Option<u8> {
-        self.queued.get(&flow).map(|w| w.header.trail.hops)
-    }
-
     /// Adds a packet to the queue.
     pub fn push(&mut self, queued: QueuedOpening) {
         self.queued.insert(queued.header.caller_flow(), queued);
@@ -277,28 +287,6 @@
         review
     }
 
-    /// Removes and returns the packets whose response will not meet the target latency here, each once.
-    pub fn take_late(&mut self, load: ServerLoad) -> Vec<QueuedOpening> {
-        if self.queued.values().all(|w| w.is_known_late) {
-            return Vec::new();
-        }
-        let mut late = self.places(load);
-        late.retain(|p| !p.meets_target && !self.queued[&p.flow].is_known_late);
-        self.remove_all(late)
-    }
-
-    /// Removes and returns the packets whose response can no longer come within the time that the caller has.
-    pub fn take_unanswerable(&mut self, load: ServerLoad) -> Vec<QueuedOpening> {
-        let mut places = self.places(load);
-        places.retain(|p| !p.is_answerable);
-        self.remove_all(places)
-    }
-
-    fn remove_all(&mut self, places: Vec<Place>) -> Vec<QueuedOpening> {
-        let places = places.into_iter();
-        places.filter_map(|p| self.remove(p.flow)).collect()
-    }
-
     /// Records that a request of `priority` takes one of `slots` slots for `work`.
     pub fn record_share(&mut self, now: Instant, priority: u32, work: Duration, slots: u32) {
         self.shares.record(now, priority, work, slots);
@@ -310,8 +298,8 @@
     }
 
     /// Returns what is before a packet that is delivered to the server now.
-    pub fn ahead_at_server(&self, load: ServerLoad, w: &QueuedOpening) -> Ahead {
-        self.ahead(load, load.busy as usize, w.priority)
+    pub fn ahead_at_server(&self, load: ServerLoad, terms: &OpeningTerms) -> Ahead {
+        self.ahead(load, load.busy as usize, terms.priority)
     }
 
     fn ahead(&self, load: ServerLoad, requests: usize, priority: u32) -> Ahead {
@@ -322,7 +310,7 @@
     }
 
     /// Whether a response can come within the caller's time.
-    pub fn is_answerable(&self, load: ServerLoad, w: &QueuedOpening, ahead: Ahead) -> bool {
+    pub fn is_answerable(&self, load: ServerLoad, terms: &OpeningTerms, ahead: Ahead) -> bool {
         // A request that is begun and not answered in time is worse than a refusal: it may not be repeated, and its
         // work is lost to others.
         let mut longest = load.work.saturating_add(load.excess);
@@ -336,14 +324,14 @@
         let opened_after = load
             .delivery_after(ahead)
             .saturating_add(self.overhead() / 2);
-        load.has_time(answered_after, w.answer_by) && load.has_time(opened_after, w.open_by)
+        load.has_time(answered_after, terms.answer_by) && load.has_time(opened_after, terms.open_by)
     }
 
     /// Whether a response meets the target latency.
-    pub fn meets_target(&self, load: ServerLoad, w: &QueuedOpening, ahead: Ahead) -> bool {
+    pub fn meets_target(&self, load: ServerLoad, terms: &OpeningTerms, ahead: Ahead) -> bool {
         let response = load.work.saturating_add(self.overhead());
         let answered_after = load.start_after(ahead).saturating_add(response);
-        load.has_time(answered_after, w.target_at)
+        load.has_time(answered_after, terms.target_at)
     }
 
     /// Returns the flow that is first in the queue.
@@ -362,8 +350,8 @@
         if self.queued.len() <= MAX_QUEUE_LEN {
             return Vec::new();
         }
-        let beyond = self.places(load).split_off(MAX_QUEUE_LEN);
-        self.remove_all(beyond)
+        let beyond = self.places(load).split_off(MAX_QUEUE_LEN).into_iter();
+        beyond.filter_map(|p| self.remove(p.flow)).collect()
     }
 
     /// Removes and returns the packet of a flow.
@@ -375,17 +363,18 @@
     fn places(&self, load: ServerLoad) -> Vec<Place> {
         let mut by_priority: BTreeMap<u32, Vec<Queued<'_>>> = BTreeMap::new();
         for (flow, w) in &self.queued {
-            by_priority.entry(w.priority).or_default().push((*flow, w));
+            let queued = by_priority.entry(w.terms.priority).or_default();
+            queued.push((*flow, &w.terms));
         }
         let mut places = Vec::with_capacity(self.queued.len());
         let mut requests = load.busy as usize;
         for (priority, queued) in by_priority {
             let mut ahead = self.ahead(load, requests, priority);
-            for (flow, w) in self.order(load, ahead, queued) {
-                let is_answerable = self.is_answerable(load, w, ahead);
+            for (flow, terms) in self.order(load, ahead, queued) {
+                let is_answerable = self.is_answerable(load, terms, ahead);
                 places.push(Place {
                     flow,
-                    meets_target: is_answerable && self.meets_target(load, w, ahead),
+                    meets_target: is_answerable && self.meets_target(load, terms, ahead),
                     is_answerable,
                 });
                 ahead = ahead.with(usize::from(is_answerable));
@@ -402,20 +391,21 @@
         ahead: Ahead,
         mut queued: Vec<Queued<'a>>,
     ) -> Vec<Queued<'a>> {
-        queued.sort_unstable_by_key(|(flow, w)| (w.target_at, w.since, *flow));
+        queued.sort_unstable_by_key(|(flow, terms)| (terms.target_at, terms.since, *flow));
         let mut before = ahead;
-        let (mut on_target, mut late): (Vec<_>, Vec<_>) = queued.into_iter().partition(|(_, w)| {
-            let meets_target =
-                self.meets_target(load, w, before) && self.is_answerable(load, w, before);
-            before = before.with(usize::from(meets_target));
-            meets_target
-        });
-        late.sort_unstable_by_key(|(flow, w)| (w.since, *flow));
+        let (mut on_target, mut late): (Vec<_>, Vec<_>) =
+            queued.into_iter().partition(|(_, terms)| {
+                let meets_target = self.meets_target(load, terms, before)
+                    && self.is_answerable(load, terms, before);
+                before = before.with(usize::from(meets_target));
+                meets_target
+            });
+        late.sort_unstable_by_key(|(flow, terms)| (terms.since, *flow));
         let not_behind = self.losing_behind(load, ahead, on_target.len(), &late);
         let behind = late.split_off(not_behind);
         if !late.is_empty() {
             on_target.extend(late);
-            on_target.sort_unstable_by_key(|(flow, w)| (w.since, *flow));
+            on_target.sort_unstable_by_key(|(flow, terms)| (terms.since, *flow));
         }
         on_target.extend(behind);
         on_target
@@ -435,10 +425,10 @@
             return 0;
         }
         let (mut before, mut losing) = (ahead, 0);
-        for ((_, w), n) in late.iter().zip(1..) {
-            if self.is_answerable(load, w, before) {
+        for ((_, terms), n) in late.iter().zip(1..) {
+            if self.is_answerable(load, terms, before) {
                 let behind = before.with(overtaking).twice();
-                if !self.is_answerable(load, w, behind) {
+                if !self.is_answerable(load, terms, behind) {
                     losing = n;
                 }
                 before = before.with(1);
--- a/crates/core/tests/testsuite/forwarded/refusals.rs
+++ b/crates/core/tests/testsuite/forwarded/refusals.rs
@@ -7,7 +7,9 @@
 use dogwoodrill_core::forwarded::capacity_shares::CapacityShares;
 use dogwoodrill_core::forwarded::packet::{Flags, FlowKey, Header, Purpose, Trail};
 use dogwoodrill_core::forwarded::service_map::RequestPolicy;
-use dogwoodrill_core::forwarded::waiting::{AdmissionQueue, QueuedOpening, ServerLoad};
+use dogwoodrill_core::forwarded::waiting::{
+    AdmissionQueue, OpeningTerms, QueuedOpening, ServerLoad,
+};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -83,7 +85,8 @@
             trail: Trail::from_balancer(Ipv4Addr::new(10, 2, 0, 1), Purpose::Placed),
         };
         let since = self.load.now.checked_sub(header.age()).unwrap();
-        let opening = QueuedOpening::new(self.load.now, since, &header, b"", policy);
+        let terms = OpeningTerms::new(since, policy);
+        let opening = QueuedOpening::new(self.load.now, &header, b"", terms);
         self.queue.push(opening);
         self.waiting.push(Waiting {
             flow: header.caller_flow(),
@@ -159,10 +162,13 @@
 
     /// Checks the packets that are refused now, and those that go on waiting.
     fn settle(&mut self, event: &str) {
-        for w in self.queue.take_late(self.load) {
+        let review = self.queue.review(self.load);
+        for flow in review.late {
+            let w = self.queue.remove(flow).unwrap();
             self.queue.push_late(w);
         }
-        let refused = self.queue.take_unanswerable(self.load);
+        let refused = review.unanswerable.into_iter();
+        let refused: Vec<_> = refused.filter_map(|f| self.queue.remove(f)).collect();
         let busy = self.load.busy as usize;
         for w in &refused {
             let flow = w.header.caller_flow();
--- a/crates/core/tests/testsuite/forwarded/waiting.rs
+++ b/crates/core/tests/testsuite/forwarded/waiting.rs
@@ -5,7 +5,9 @@
 
 use dogwoodrill_core::forwarded::packet::{Flags, Header, Purpose, Trail};
 use dogwoodrill_core::forwarded::service_map::RequestPolicy;
-use dogwoodrill_core::forwarded::waiting::{AdmissionQueue, QueuedOpening, ServerLoad};
+use dogwoodrill_core::forwarded::waiting::{
+    AdmissionQueue, OpeningTerms, QueuedOpening, ServerLoad,
+};
 use rstest::rstest;
 
 use super::world::ORDERS_ADDRESS;
@@ -63,7 +65,8 @@
 
 fn push(queue: &mut AdmissionQueue, now: Instant, header: &Header, policy: RequestPolicy) {
     let since = now.checked_sub(header.age()).unwrap();
-    queue.push(QueuedOpening::new(now, since, header, b"", policy));
+    let terms = OpeningTerms::new(since, policy);
+    queue.push(QueuedOpening::new(now, header, b"", terms));
 }
 
 /// Adds one packet for each entry of arrival in ms and policy; the ports count from 1.
@@ -79,6 +82,18 @@
     openings.iter().map(|w| w.header.source.port()).collect()
 }
 
+/// Removes and returns the packets whose response can no longer come in time.
+fn take_unanswerable(queue: &mut AdmissionQueue, load: ServerLoad) -> Vec<QueuedOpening> {
+    let flows = queue.review(load).unanswerable.into_iter();
+    flows.filter_map(|flow| queue.remove(flow)).collect()
+}
+
+/// Removes and returns the packets whose response will not meet the target latency.
+fn take_late(queue: &mut AdmissionQueue, load: ServerLoad) -> Vec<QueuedOpening> {
+    let flows = queue.review(load).late.into_iter();
+    flows.filter_map(|flow| queue.remove(flow)).collect()
+}
+
 fn order(queue: &AdmissionQueue, load: ServerLoad) -> Vec<u16> {
     let flows = queue.in_order(load).into_iter();
     flows.map(|f| f.caller.port()).collect()
@@ -148,7 +163,7 @@
 ) {
     let start = Instant::now();
     let mut queue = queue_of(start, &[(0, within(timeout, timeout))]);
-    let unanswerable = queue.take_unanswerable(load(start + waited * MS, busy));
+    let unanswerable = take_unanswerable(&mut queue, load(start + waited * MS, busy));
     assert_eq!(ports(&unanswerable), expected);
 }
 
@@ -167,7 +182,7 @@
     let start = Instant::now();
     let mut queue = AdmissionQueue::default();
     push(&mut queue, start, &copy(1, copy_number), within(8000, 8000));
-    let unanswerable = queue.take_unanswerable(load(start + waited * MS, 14));
+    let unanswerable = take_unanswerable(&mut queue, load(start + waited * MS, 14));
     assert_eq!(ports(&unanswerable), expected);
 }
 
@@ -179,7 +194,7 @@
     let start = Instant::now();
     let mut queue = queue_of(start, &[(0, within(timeout, timeout))]);
     queue.record_round_trip(15 * MS);
-    let unanswerable = queue.take_unanswerable(load(start, 1));
+    let unanswerable = take_unanswerable(&mut queue, load(start, 1));
     assert_eq!(ports(&unanswerable), expected);
 }
 
@@ -192,10 +207,10 @@
         work: Duration::ZERO,
         ..load(start + 9 * MS, 100)
     };
-    assert_eq!(ports(&queue.take_unanswerable(unknown)), []);
+    assert_eq!(ports(&take_unanswerable(&mut queue, unknown)), []);
     let now = start + 11 * MS;
     let unknown = ServerLoad { now, ..unknown };
-    assert_eq!(ports(&queue.take_unanswerable(unknown)), [1]);
+    assert_eq!(ports(&take_unanswerable(&mut queue, unknown)), [1]);
 }
 
 /// An arrival makes packets unanswerable only where it goes before them, and the last one first. Of the four that wait, none leaves
@@ -213,11 +228,11 @@
     let entries = [1, 1, 1, 1].map(|priority| (u32::default(), limited(priority)));
     let mut queue = queue_of(start, &entries);
     let load = load(start, 9);
-    assert!(queue.take_unanswerable(load).is_empty());
+    assert!(take_unanswerable(&mut queue, load).is_empty());
     push(&mut queue, start, &opening(5), limited(priority));
-    assert_eq!(ports(&queue.take_unanswerable(load)), expected);
+    assert_eq!(ports(&take_unanswerable(&mut queue, load)), expected);
     assert_eq!(queue.len(), 4);
-    assert!(queue.take_unanswerable(load).is_empty());
+    assert!(take_unanswerable(&mut queue, load).is_empty());
 }
 
 /// Guards against packets that go on waiting when it turns out that the server is slower.
@@ -225,13 +240,13 @@
 fn a_slower_server_makes_packets_unanswerable() {
     let start = Instant::now();
     let mut queue = queue_of(start, &[(0, CUSTODY); 20]);
-    assert!(queue.take_unanswerable(load(start, 6)).is_empty());
+    assert!(take_unanswerable(&mut queue, load(start, 6)).is_empty());
     let slower = ServerLoad {
         work: 80 * MS,
         ..load(start, 6)
     };
     // The one behind 25 requests would start after 960 ms.
-    assert_eq!(queue.take_unanswerable(slower).len(), 1);
+    assert_eq!(take_unanswerable(&mut queue, slower).len(), 1);
 }
 
 /// Guards against requests that are begun, and that take longer than the mean and longer than their callers wait.
@@ -250,7 +265,7 @@
         excess: excess * MS,
         ..load(start + waited * MS, 2)
     };
-    assert_eq!(ports(&queue.take_unanswerable(load)), expected);
+    assert_eq!(ports(&take_unanswerable(&mut queue, load)), expected);
 }
 
 /// Guards against a packet that is offered to peers again and again because it is late here.
@@ -259,12 +274,12 @@
     let start = Instant::now();
     let mut queue = queue_of(start, &[(0, CUSTODY), (1, within(20, 1000))]);
     let load = load(start + 2 * MS, 2);
-    let late = queue.take_late(load);
+    let late = take_late(&mut queue, load);
     assert_eq!(ports(&late), [2]);
     for w in late {
         queue.push_late(w);
     }
-    assert!(queue.take_late(load).is_empty());
+    assert!(take_late(&mut queue, load).is_empty());
     assert_eq!(order(&queue, load), [1, 2]);
 }
 
@@ -306,10 +321,10 @@
     let priorities = [0, 1, 1, u32::MAX];
     let mut queue = queue_of(start, &priorities.map(|p| (1, custody(p))));
     let mut all = Vec::new();
-    for w in queue.take_late(load) {
+    for w in take_late(&mut queue, load) {
         queue.push_late(w);
     }
-    all.extend(ports(&queue.take_unanswerable(load)));
+    all.extend(ports(&take_unanswerable(&mut queue, load)));
     while let Some(flow) = queue.next(load) {
         all.extend(queue.remove(flow).map(|w| w.header.source.port()));
     }
